--- a/libs/citronshelf_common/citronshelf_common/program.py
+++ b/libs/citronshelf_common/citronshelf_common/program.py
@@ -51,11 +51,19 @@
     parser.add_argument(
         '--version',
         action='version',
-        version=f'{name} {metadata.version(package)}',
+        version=f'{name} {version_of(package)}',
     )
     return parser
 
 
+def version_of(package: str) -> str:
+    """Return the version of a distribution, as far as it is installed."""
+    try:
+        return metadata.version(package)
+    except metadata.PackageNotFoundError:
+        return 'from source'
+
+
 def read_settings(path: str, shape: type) -> Result:
     """Read and check a settings file.
 
--- a/libs/citronshelf_entry/citronshelf_entry/exchange.py
+++ b/libs/citronshelf_entry/citronshelf_entry/exchange.py
@@ -42,6 +42,27 @@
     framing: headers.Framing
 
 
+class AnswerRules(NamedTuple):
+    """What an answer must show before it is passed on.
+
+    Attributes
+    ----------
+    echo_header : str
+        Header, in lower case, in which a server repeats the request id; an
+        answer with another id belongs to another request.
+    close_delimited : bool
+        Accept an answer without a length whose connection ends in order. A
+        reset still breaks it.
+    ignore_surplus : bool
+        Bytes after a whole answer belong to no request; they are discarded
+        with their connection instead of breaking the answer.
+    """
+
+    echo_header: str = 'x-request-id'
+    close_delimited: bool = False
+    ignore_surplus: bool = False
+
+
 class Part(NamedTuple):
     """Some bytes of a body; the last part proves that it is whole."""
 
@@ -62,6 +83,7 @@
     may_send : callable
         Asked immediately before the request is written, when the connection
         is established. False ends the exchange with nothing sent.
+    rules : AnswerRules
     """
 
     def __init__(
@@ -72,7 +94,9 @@
         max_answer_bytes: int,
         once: bool,
         may_send: Callable[[], bool],
+        rules: AnswerRules = AnswerRules(),
     ):
+        self.rules = rules
         self.method = method
         self.request_id = request_id
         self.max_answer_bytes = max_answer_bytes
@@ -115,6 +139,11 @@
         reports success; its trace is the only place where it says so.
         """
         if kind == pycurl.INFOTYPE_TEXT and text.startswith(SURPLUS_TRACE):
+            self.note_surplus()
+
+    def note_surplus(self) -> None:
+        """Refuse an answer with surplus bytes unless the rules allow it."""
+        if not self.rules.ignore_surplus:
             self.refusal = 'over-long-answer'
 
     def on_header_line(self, line: bytes) -> int | None:
@@ -148,7 +177,9 @@
         if status < 200:
             return None
         pairs = tuple(split_line(line) for line in lines[1:])
-        echoed = headers.first_of(pairs, 'x-request-id', self.request_id)
+        echoed = headers.first_of(
+            pairs, self.rules.echo_header, self.request_id
+        )
         if echoed != self.request_id:
             return self.refuse('answer-to-another-request')
         framing = self.provable_framing(status, pairs)
@@ -167,7 +198,8 @@
         framing = headers.framing_of(pairs)
         if framing.is_error():
             return None
-        if framing.ok.length is None and not framing.ok.chunked:
+        unframed = framing.ok.length is None and not framing.ok.chunked
+        if unframed and not self.rules.close_delimited:
             return None
         return framing.ok
 
--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -54,6 +54,13 @@
     max_answer_bytes : int
     may_send : callable
         Asked immediately before the request is written.
+    stamps : tuple of (str, str) or None
+        Headers that this instance sets; None for its usual request id and
+        deadline.
+    connect_timeout_s : float
+    close_after : bool
+        Close the connection after the answer instead of keeping it.
+    rules : AnswerRules
     """
 
     request_id: str
@@ -66,6 +73,10 @@
     fresh: bool
     max_answer_bytes: int
     may_send: Callable[[], bool]
+    stamps: headers.HeaderList | None = None
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
+    close_after: bool = False
+    rules: exchange.AnswerRules = exchange.AnswerRules()
 
 
 class CurlClient(curl_httpclient.CurlAsyncHTTPClient):
@@ -104,7 +115,7 @@
         started = getattr(curl.info['request'].request, 'exchange', None)
         if started is not None and not curl_error:
             if has_surplus(curl.getinfo(pycurl.ACTIVESOCKET)):
-                started.refusal = 'over-long-answer'
+                started.note_surplus()
         super()._finish(curl, curl_error, curl_message)
 
     def idle_handles(self) -> int:
@@ -141,6 +152,7 @@
             max_answer_bytes=sending.max_answer_bytes,
             once=sending.fresh,
             may_send=sending.may_send,
+            rules=sending.rules,
         )
         if self.curl.idle_handles() <= 0:
             started.fail(FULL)
@@ -213,7 +225,7 @@
         f'http://{sending.address.authority()}{sending.target}',
         method=sending.method,
         body=body_of(sending),
-        connect_timeout=min(CONNECT_TIMEOUT_S, sending.timeout_s),
+        connect_timeout=min(sending.connect_timeout_s, sending.timeout_s),
         request_timeout=sending.timeout_s,
         follow_redirects=False,
         decompress_response=False,
@@ -255,6 +267,7 @@
     # The connection is kept afterwards for work that may be repeated, so that
     # surplus bytes after the answer can still be seen on it.
     curl.setopt(pycurl.FRESH_CONNECT, 1 if sending.fresh else 0)
+    curl.setopt(pycurl.FORBID_REUSE, 1 if sending.close_after else 0)
     curl.setopt(pycurl.PREREQFUNCTION, started.on_ready_to_send)
     curl.setopt(pycurl.VERBOSE, 1)
     curl.setopt(pycurl.DEBUGFUNCTION, started.on_debug)
@@ -274,8 +287,7 @@
         f'{name}: {value}' if value else f'{name};'
         for name, value in sending.headers
     ]
-    lines.append(f'X-Request-Id: {sending.request_id}')
-    lines.append(f'X-Deadline-Ms: {int(sending.timeout_s * 1000)}')
+    lines += [f'{name}: {value}' for name, value in stamps_of(sending)]
     present = {name.lower() for name, _ in sending.headers}
     for name in ('Accept', 'Content-Type', 'User-Agent'):
         if name.lower() not in present:
@@ -284,6 +296,16 @@
     return [line.encode('latin-1') for line in lines]
 
 
+def stamps_of(sending: Sending) -> headers.HeaderList:
+    """Return the headers that this instance sets itself."""
+    if sending.stamps is not None:
+        return sending.stamps
+    return (
+        ('X-Request-Id', sending.request_id),
+        ('X-Deadline-Ms', str(int(sending.timeout_s * 1000))),
+    )
+
+
 def conclude(started: exchange.Exchange, response) -> None:
     """End an exchange when tornado's client has finished with it.
 
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/__init__.py
@@ -0,0 +1,1 @@
+"""One daemon for an instance that reads routes and registrations."""
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_request.py
@@ -0,0 +1,173 @@
+"""Requests of callers as they are read from a connection."""
+
+import os
+import re
+from typing import NamedTuple
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from citronshelf_entry import headers
+from citronshelf_entry import request_head
+
+REQUEST_ID_BYTES = 8
+MAX_DEADLINE_MS = 3_600_000
+DEADLINE = re.compile(r'[0-9]{1,12}')
+
+
+class HeaderNames(NamedTuple):
+    """Names of the headers that instances and servers set or read.
+
+    Attributes
+    ----------
+    request_id : str
+        Identity of one attempt of a caller; servers repeat it.
+    deadline : str
+        Milliseconds that the sender will wait.
+    expected_server : str
+        Identity of the server that may run the request.
+    not_run : str
+        Set by a server that proves that it did not run the request.
+    signature : str
+        Set by a server on every answer of its own.
+    """
+
+    request_id: str = 'X-Request-Id'
+    deadline: str = 'X-Deadline-Ms'
+    expected_server: str = 'X-Expected-Server'
+    not_run: str = 'X-Not-Run'
+    signature: str = 'X-Signature'
+
+
+class Head(NamedTuple):
+    """Checked head of a request.
+
+    Attributes
+    ----------
+    method : str
+    target : str
+        Path and query.
+    host : str
+    headers : tuple of (str, str)
+        As received, hop-by-hop headers included.
+    framing : Framing
+        Length 0 without a body.
+    request_id : str
+    deadline_s : float or None
+        Seconds that the caller waits.
+    keeps_open : bool
+        The caller can use the connection for another request.
+    continues : bool
+        The caller waits for an interim answer before it sends the body.
+    """
+
+    method: str
+    target: str
+    host: str
+    headers: headers.HeaderList
+    framing: headers.Framing
+    request_id: str
+    deadline_s: float | None
+    keeps_open: bool
+    continues: bool
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition('?')[0]
+
+
+class CallerRequest(NamedTuple):
+    """A whole request."""
+
+    head: Head
+    body: bytes
+    arrived_s: float
+
+
+def parse_head(data: bytes, names: HeaderNames) -> Result:
+    """Read the head of a request.
+
+    Parameters
+    ----------
+    data : bytes
+        Up to and including the empty line.
+    names : HeaderNames
+
+    Returns
+    -------
+    Result
+        ``Ok`` with a ``Head`` or ``Error`` with a ``Refusal``.
+    """
+    fault = request_head.find_raw_fault(data)
+    if fault is not None:
+        return Error(fault)
+    start, *lines = data.decode('latin-1').split('\r\n')[:-2]
+    method, target, version = start.split(' ')
+    if method in request_head.REFUSED_METHODS:
+        text = f'method {method} is not supported'
+        return Error(request_head.Refusal(501, text))
+    if not target.startswith('/'):
+        return Error(request_head.Refusal(400, 'target is not a path'))
+    pairs = tuple(split_line(line) for line in lines)
+    framing = headers.framing_of(pairs)
+    if framing.is_error():
+        return Error(request_head.Refusal(400, framing.error))
+    hosts = headers.values_of(pairs, 'host')
+    if len(hosts) != 1:
+        text = 'exactly one Host header is needed'
+        return Error(request_head.Refusal(400, text))
+    return Ok(
+        Head(
+            method=method,
+            target=target,
+            host=hosts[0],
+            headers=pairs,
+            framing=body_framing(framing.ok),
+            request_id=request_id_of(pairs, names),
+            deadline_s=deadline_of(pairs, names),
+            keeps_open=keeps_open(pairs, version),
+            continues=expects_continue(pairs),
+        )
+    )
+
+
+def split_line(line: str) -> tuple[str, str]:
+    """Return name and value of a header line."""
+    name, _, value = line.partition(':')
+    return name, value.strip(' \t')
+
+
+def body_framing(framing: headers.Framing) -> headers.Framing:
+    """Return the framing; a request without a declared body has none."""
+    if framing.length is None and not framing.chunked:
+        return headers.Framing(0, False)
+    return framing
+
+
+def request_id_of(pairs: headers.HeaderList, names: HeaderNames) -> str:
+    """Return the caller's request id, or a new one."""
+    known = headers.first_of(pairs, names.request_id.lower())
+    return known or os.urandom(REQUEST_ID_BYTES).hex()
+
+
+def deadline_of(pairs: headers.HeaderList, names: HeaderNames) -> float | None:
+    """Return the caller's deadline in seconds, None without a valid one."""
+    text = headers.first_of(pairs, names.deadline.lower())
+    if not DEADLINE.fullmatch(text):
+        return None
+    return min(int(text), MAX_DEADLINE_MS) / 1000
+
+
+def keeps_open(pairs: headers.HeaderList, version: str) -> bool:
+    """Tell whether the caller keeps its connection open."""
+    options = headers.named_by_connection(pairs)
+    if version == 'HTTP/1.0':
+        return 'keep-alive' in options
+    return 'close' not in options
+
+
+def expects_continue(pairs: headers.HeaderList) -> bool:
+    """Tell whether the caller waits before it sends its body."""
+    return headers.first_of(pairs, 'expect').lower() == '100-continue'
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -0,0 +1,287 @@
+"""The daemon of one instance: every part put together."""
+
+import asyncio
+import logging
+import random
+import time
+
+from citronshelf_common import events as log_events
+from citronshelf_common import fleet
+from citronshelf_common import identity
+from citronshelf_common import log_stream
+from citronshelf_common import settings as common_settings
+from citronshelf_entry import request_head
+from citronshelf_entry import upstream
+from citronshelf_instance import admin
+from citronshelf_instance import answers
+from citronshelf_instance import caller_connection
+from citronshelf_instance import caller_request
+from citronshelf_instance import events
+from citronshelf_instance import forwarding
+from citronshelf_instance import membership
+from citronshelf_instance import metrics
+from citronshelf_instance import peer_messages
+from citronshelf_instance import peers
+from citronshelf_instance import placement
+from citronshelf_instance import published
+from citronshelf_instance import registrations
+from citronshelf_instance import settings
+from citronshelf_instance import shutdown
+from citronshelf_instance import store_reader
+from citronshelf_peering import links
+
+LOG = logging.getLogger(__name__)
+# Descriptors that are not connections of callers: files, peers, the store,
+# and a connection to a server for every second caller.
+RESERVED_DESCRIPTORS = 600
+MIN_CONNECTIONS = 64
+
+parse_address = common_settings.parse_address
+
+
+class InstanceDaemon:
+    """Serves callers, follows the store and talks to other instances.
+
+    Parameters
+    ----------
+    table : Settings
+        Checked settings.
+    make_store : callable
+        Takes the store's address and an ``UpstreamClient``; returns a
+        ``Store``.
+    names : HeaderNames
+    log_output : BoundedLogStream
+    """
+
+    def __init__(
+        self,
+        *,
+        table: settings.Settings,
+        make_store,
+        names: caller_request.HeaderNames,
+        log_output: log_stream.BoundedLogStream,
+    ):
+        self.table = table
+        self.names = names
+        self.stopping = False
+        self.rng = random.Random()
+        clock = time.monotonic
+        self.metrics = metrics.InstanceMetrics()
+        self.directory = registrations.Directory(clock=clock)
+        self.state = published.PublishedState(
+            directory=self.directory, clock=clock, rng=self.rng
+        )
+        self.client = upstream.UpstreamClient()
+        self.own = own_member(table)
+        self.members = membership.Membership(
+            own=self.own, clock=clock, rng=self.rng
+        )
+        self.links = links.ZmqLinks(address=self.own.address, keys=None)
+        self.peers = peers.Peers(
+            own=self.own,
+            seeds=[parse_address(text) for text in table['peers']['seeds']],
+            links=self.links,
+            state=self.state,
+            members=self.members,
+            clock=clock,
+            rng=self.rng,
+        )
+        self.reader = store_reader.StoreReader(
+            store=make_store(
+                parse_address(table['store']['address']), self.client
+            ),
+            state=self.state,
+            ask_peers=self.peers.fetch,
+            clock=clock,
+            rng=self.rng,
+        )
+        self.peers.told_revision = self.reader.note_peer_revision
+        self.forwarder = self.make_forwarder(clock)
+        self.server = self.make_server()
+        self.add_gauges(log_output)
+
+    def make_forwarder(self, clock) -> forwarding.Forwarder:
+        """Return the data path behind the routes."""
+        costs = self.table['placement']
+        retries = self.table['retries']
+        placer = placement.Placer(
+            directory=self.directory,
+            place=self.own.place,
+            regions=self.table['regions'],
+            distances=placement.Distances(
+                costs['zone_loss_per_kb'],
+                costs['region_loss_per_kb'],
+                costs['region_latency_s'],
+            ),
+            clock=clock,
+            rng=self.rng,
+        )
+        return forwarding.Forwarder(
+            placer=placer,
+            client=self.client,
+            names=self.names,
+            terms=forwarding.BudgetTerms(
+                retries['ratio'], retries['slack'], retries['window_s']
+            ),
+            instances=self.members.count,
+            observe=self.peers.observe,
+            metrics=self.metrics,
+            clock=clock,
+        )
+
+    def make_server(self) -> caller_connection.CallerServer:
+        """Return the server of callers."""
+        descriptors = self.table['instance']['max_descriptors']
+        most = max(MIN_CONNECTIONS, descriptors - RESERVED_DESCRIPTORS)
+        service = caller_connection.Service(
+            handle=self.handle,
+            may_run_ahead=self.may_run_ahead,
+            limits=lambda: self.state.limits,
+            names=self.names,
+        )
+        return caller_connection.CallerServer(
+            service=service, max_connections=most
+        )
+
+    def add_gauges(self, log_output: log_stream.BoundedLogStream) -> None:
+        """Add values that are read with the metrics."""
+        add = self.metrics.add_gauge
+        add(
+            'configuration_revision',
+            'Revision in force',
+            lambda: self.state.configuration.revision
+            if self.state.configuration
+            else 0,
+        )
+        add(
+            'servers',
+            'Registered servers',
+            lambda: len(self.directory.servers),
+        )
+        add('instances', 'Instances known alive', self.members.count)
+        add('store_calls', 'Calls to the store', lambda: self.reader.calls)
+        add('store_answers', 'Store reachable', lambda: self.reader.answers)
+        add('log_dropped', 'Dropped lines', lambda: log_output.dropped)
+
+    async def serve(self, stopping: asyncio.Event) -> int:
+        """Run until the stop event is set."""
+        listen = self.table['listen']
+        callers = parse_address(listen['callers'])
+        ready = admin.start_ready(
+            parse_address(listen['ready']), self.unready_reason
+        )
+        pages = admin.start_metrics(
+            parse_address(listen['metrics']), self.metrics
+        )
+        self.server.listen(
+            callers.port,
+            callers.ip,
+            backlog=caller_connection.LISTEN_BACKLOG,
+        )
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(self.links.run()),
+                group.create_task(self.peers.run()),
+                group.create_task(self.reader.run()),
+            ]
+            await stopping.wait()
+            self.stopping = True
+            self.peers.leave()
+            await shutdown.shut_down(self.server, self.table['shutdown'])
+            for task in tasks:
+                task.cancel()
+        ready.stop()
+        pages.stop()
+        self.links.close()
+        self.client.close()
+        return 0
+
+    def unready_reason(self) -> str:
+        """Return why callers should go elsewhere, empty when ready."""
+        if self.stopping:
+            return 'stopping'
+        if not self.state.is_known():
+            return 'no configuration'
+        return ''
+
+    def may_run_ahead(self, head: caller_request.Head) -> bool:
+        """Tell whether a request may run beside earlier ones."""
+        if self.state.routes is None:
+            return True
+        route = self.state.routes.find(head.host, head.path)
+        return route is None or route.idempotent
+
+    async def handle(
+        self, request: caller_request.CallerRequest
+    ) -> answers.Answer:
+        """Answer one request."""
+        try:
+            answer, route_name = await self.answer(request)
+        except Exception as error:
+            LOG.exception('request %s', request.head.request_id)
+            log_events.log_event(
+                LOG,
+                events.REQUEST_FAULT,
+                request_id=request.head.request_id,
+                reason=repr(error),
+            )
+            answer = answers.own(502, 'unknown', 'internal-fault')
+            route_name = ''
+        elapsed_s = time.monotonic() - request.arrived_s
+        self.metrics.record_request(route_name, answer.status, elapsed_s)
+        return answer
+
+    async def answer(
+        self, request: caller_request.CallerRequest
+    ) -> tuple[answers.Answer, str]:
+        """Return the answer to a request and the name of its route."""
+        head = request.head
+        if not self.state.is_known():
+            answer = answers.own(503, 'not-run', 'no configuration')
+            self.log_end(request, answer, '', '')
+            return answer, ''
+        route = self.state.routes.find(head.host, head.path)
+        if route is None:
+            refusal = request_head.Refusal(404, 'no such route')
+            answer = answers.of_refusal(refusal, closes=False)
+            self.log_end(request, answer, '', '')
+            return answer, ''
+        routed = self.state.routes.assign(route)
+        outcome = await self.forwarder.run(request, routed)
+        answer = answers.of_outcome(outcome, head, self.names)
+        reason = getattr(outcome, 'reason', '')
+        self.log_end(request, answer, route.name, reason)
+        return answer, route.name
+
+    def log_end(self, request, answer, route_name: str, reason: str) -> None:
+        """Log the final answer of a request with what decided it."""
+        head = request.head
+        elapsed_s = time.monotonic() - request.arrived_s
+        log_events.log_event(
+            LOG,
+            events.REQUEST_ENDED,
+            request_id=head.request_id,
+            method=head.method,
+            host=head.host,
+            path=head.path[:200],
+            route=route_name,
+            configuration_revision=self.state.configuration.revision
+            if self.state.configuration
+            else 0,
+            deadline_s=head.deadline_s,
+            status=answer.status,
+            reason=reason,
+            elapsed_ms=round(elapsed_s * 1000, 1),
+        )
+
+
+def own_member(table: settings.Settings) -> peer_messages.Member:
+    """Return how this instance introduces itself."""
+    instance = table['instance']
+    return peer_messages.Member(
+        instance['name'],
+        identity.new_incarnation(instance=instance['name']).nonce,
+        parse_address(table['listen']['peers']),
+        fleet.Place(instance['region'], instance['zone']),
+        0.0,
+    )
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/evidence.py
@@ -0,0 +1,106 @@
+"""What the outcomes of requests say about each backend server."""
+
+import enum
+import math
+from typing import NamedTuple
+
+# Rates of a two-state Markov model of a server, per second: how often a sound
+# server begins to fail, and how often a failing one recovers. They follow
+# from episodes of one to six seconds, a few in a minute.
+FAILING_RATE = 0.03
+RECOVERY_RATE = 0.3
+# Share of the requests that fail in each state.
+FAILING_SHARE = 0.6
+SOUND_SHARE = 0.015
+# Share of the requests that run three times as long as usual in each state.
+FAILING_STALL_SHARE = 0.4
+SOUND_STALL_SHARE = 0.03
+PRIOR = FAILING_RATE / (FAILING_RATE + RECOVERY_RATE)
+
+# Weight of the newest request in the mean slowness, and how fast a server
+# that gets no requests returns to normal.
+SLOWNESS_WEIGHT = 0.3
+SLOWNESS_DECAY_S = 4.0
+MAX_SLOWNESS = 20.0
+
+
+class Sign(enum.IntEnum):
+    """How one dispatch ended, as evidence about its server."""
+
+    GOOD = 0
+    FAILED = 1
+    STALLED = 2
+    SHED = 3
+
+
+class Observation(NamedTuple):
+    """One sign about one server.
+
+    Attributes
+    ----------
+    server_id : str
+    sign : Sign
+    slowness : float
+        Time of the request relative to what its route usually takes; 0 when
+        it says nothing.
+    """
+
+    server_id: str
+    sign: Sign
+    slowness: float
+
+
+# Likelihood of each sign for a failing and for a sound server.
+LIKELIHOODS = {
+    Sign.GOOD: (1 - FAILING_SHARE, 1 - SOUND_SHARE),
+    Sign.FAILED: (FAILING_SHARE, SOUND_SHARE),
+    Sign.STALLED: (FAILING_STALL_SHARE, SOUND_STALL_SHARE),
+}
+
+
+class ServerEvidence:
+    """Probability that one server is failing, and how slow it is.
+
+    A forward filter of the two-state model: time moves the probability to its
+    stationary value, each outcome updates it by Bayes' rule.
+
+    Attributes
+    ----------
+    failing : float
+        Probability at ``updated_s``.
+    updated_s : float
+    slowness : float
+        Mean of observed over usual time, 1.0 for a normal server.
+    """
+
+    def __init__(self, *, now: float):
+        self.failing = PRIOR
+        self.updated_s = now
+        self.slowness = 1.0
+
+    def advance(self, now: float) -> None:
+        """Account for the time since the last update."""
+        elapsed = max(0.0, now - self.updated_s)
+        self.updated_s = max(now, self.updated_s)
+        kept = math.exp(-(FAILING_RATE + RECOVERY_RATE) * elapsed)
+        self.failing = PRIOR + (self.failing - PRIOR) * kept
+        slow_kept = math.exp(-elapsed / SLOWNESS_DECAY_S)
+        self.slowness = 1.0 + (self.slowness - 1.0) * slow_kept
+
+    def record(self, observation: Observation, now: float) -> None:
+        """Update the probability with one outcome."""
+        self.advance(now)
+        likelihood = LIKELIHOODS.get(observation.sign)
+        if likelihood is not None:
+            failing = self.failing * likelihood[0]
+            sound = (1 - self.failing) * likelihood[1]
+            self.failing = failing / (failing + sound)
+        if observation.slowness > 0:
+            seen = min(observation.slowness, MAX_SLOWNESS)
+            self.slowness += SLOWNESS_WEIGHT * (seen - self.slowness)
+
+    def failure_share(self, now: float) -> float:
+        """Return the expected share of requests that fail."""
+        self.advance(now)
+        sound = (1 - self.failing) * SOUND_SHARE
+        return self.failing * FAILING_SHARE + sound
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -0,0 +1,249 @@
+"""Exchange of evidence, members and published state between instances."""
+
+import asyncio
+import logging
+import random
+
+from citronshelf_common import events as log_events
+from citronshelf_common import fleet
+from citronshelf_instance import events
+from citronshelf_instance import evidence
+from citronshelf_instance import membership
+from citronshelf_instance import peer_messages
+from citronshelf_instance import published
+
+LOG = logging.getLogger(__name__)
+
+TICK_S = 0.5
+HEARTBEAT_S = 2.0
+HEARTBEAT_PEERS = 2
+HEARTBEAT_MEMBERS = 6
+# Messages to other regions are paid for by volume.
+FAR_HEARTBEAT_S = 8.0
+# Evidence goes to at most this many instances, so that its cost for one
+# instance does not grow with the fleet.
+MAX_EVIDENCE_PEERS = 64
+# Failures are told at once; further signs of this time go with them.
+EVIDENCE_DELAY_S = 0.02
+MAX_PENDING_ROWS = 200
+# Others need good outcomes only of servers that may be failing.
+TELLING_FAILING = 0.2
+TELLING_SLOWNESS = 1.8
+FETCH_EVERY_S = 0.5
+
+
+class Peers:
+    """Links to the other instances.
+
+    Parameters
+    ----------
+    own : Member
+    seeds : list of Address
+        Some instances that may be known, stale or down.
+    links : ZmqLinks
+    state : PublishedState
+    members : Membership
+    clock : callable
+        Monotonic seconds.
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        *,
+        own: peer_messages.Member,
+        seeds: list[fleet.Address],
+        links,
+        state: published.PublishedState,
+        members: membership.Membership,
+        clock,
+        rng: random.Random,
+    ):
+        self.own = own
+        self.seeds = [seed for seed in seeds if seed != own.address]
+        self.links = links
+        self.state = state
+        self.members = members
+        self.clock = clock
+        self.rng = rng
+        self.rows: list[evidence.Observation] = []
+        self.flush_due = False
+        self.heartbeat_s = 0.0
+        self.far_heartbeat_s = 0.0
+        self.fetched_s = float('-inf')
+        self.told_revision = lambda revision: None
+        links.on_message = self.receive
+
+    async def run(self) -> None:
+        """Keep the membership alive until cancelled."""
+        while True:
+            self.greet()
+            for member in self.members.expire():
+                self.links.disconnect(member.address)
+            now = self.clock()
+            if now >= self.heartbeat_s:
+                self.heartbeat_s = now + HEARTBEAT_S
+                self.send_heartbeats()
+            await asyncio.sleep(TICK_S * self.rng.uniform(0.8, 1.2))
+
+    def greet(self) -> None:
+        """Introduce this instance where it may not be known."""
+        message = peer_messages.Join(self.own, self.state.news_revision)
+        if not self.members.known:
+            for seed in self.seeds:
+                self.send(seed, message)
+        for known in self.members.of_region():
+            if not known.direct:
+                self.send(known.member.address, message)
+
+    def send_heartbeats(self) -> None:
+        """Tell a few instances about this one and some others."""
+        near = self.members.of_region()
+        chosen = self.rng.sample(near, min(HEARTBEAT_PEERS, len(near)))
+        now = self.clock()
+        far = self.members.elsewhere()
+        if far and now >= self.far_heartbeat_s:
+            self.far_heartbeat_s = now + FAR_HEARTBEAT_S
+            chosen.append(self.rng.choice(far))
+            self.greet_unknown_seed()
+        message = self.heartbeat(HEARTBEAT_MEMBERS)
+        for known in chosen:
+            self.send(known.member.address, message)
+
+    def greet_unknown_seed(self) -> None:
+        """Introduce this instance to a seed that is not a member.
+
+        Groups of instances that began with different seeds find each other.
+        """
+        known = {one.member.address for one in self.members.known.values()}
+        unknown = [seed for seed in self.seeds if seed not in known]
+        if unknown:
+            message = peer_messages.Join(self.own, self.state.news_revision)
+            self.send(self.rng.choice(unknown), message)
+
+    def heartbeat(self, members: int) -> peer_messages.Heartbeat:
+        """Return a heartbeat that names some members."""
+        return peer_messages.Heartbeat(
+            self.own, self.state.news_revision, self.members.sample(members)
+        )
+
+    def send(self, address: fleet.Address, message) -> bool:
+        """Send to the address of an instance."""
+        self.links.connect(address)
+        return self.links.send(address, peer_messages.CODEC.encode(message))
+
+    def receive(self, route, data: bytes) -> None:
+        """Take a message of another instance."""
+        decoded = peer_messages.CODEC.decode(data)
+        if decoded.is_error():
+            log_events.log_event(
+                LOG,
+                events.PEER_MESSAGE_REFUSED,
+                reason=decoded.error[:200],
+            )
+            return
+        message = decoded.ok
+        if message.sender.instance == self.own.instance:
+            return
+        if isinstance(message, peer_messages.Leave):
+            self.members.forget(message.sender.instance)
+            self.links.disconnect(message.sender.address)
+            return
+        self.members.hear(message.sender)
+        self.take(message)
+
+    def take(self, message) -> None:
+        """Act on a message of a known instance."""
+        match message:
+            case peer_messages.Join():
+                reply = self.heartbeat(peer_messages.MAX_MEMBERS)
+                self.send(message.sender.address, reply)
+                self.told_revision(message.revision)
+            case peer_messages.Heartbeat():
+                for member in message.members:
+                    self.members.learn(member)
+                self.told_revision(message.revision)
+            case peer_messages.Evidence():
+                for row in message.rows:
+                    self.state.directory.record(row)
+                self.told_revision(message.revision)
+            case peer_messages.FetchState():
+                self.answer_fetch(message)
+            case peer_messages.StateCopy():
+                self.take_copy(message)
+
+    def answer_fetch(self, message: peer_messages.FetchState) -> None:
+        """Give the published state to an instance that is behind."""
+        if self.state.revision > message.revision and self.state.is_known():
+            copy = peer_messages.StateCopy(self.own, self.state.snapshot())
+            self.send(message.sender.address, copy)
+
+    def take_copy(self, message: peer_messages.StateCopy) -> None:
+        """Take the published state from another instance."""
+        if message.snapshot.revision <= self.state.revision:
+            return
+        log_events.log_event(
+            LOG,
+            events.STATE_FROM_PEER,
+            peer=message.sender.instance,
+            revision=message.snapshot.revision,
+            known_revision=self.state.revision,
+        )
+        self.state.replace(message.snapshot, source=message.sender.instance)
+
+    def fetch(self) -> None:
+        """Ask an instance of the region for the published state."""
+        now = self.clock()
+        near = self.members.of_region() or self.members.elsewhere()
+        if not near or now - self.fetched_s < FETCH_EVERY_S:
+            return
+        self.fetched_s = now
+        chosen = self.rng.choice(near)
+        message = peer_messages.FetchState(self.own, self.state.revision)
+        self.send(chosen.member.address, message)
+
+    def observe(self, observation: evidence.Observation) -> None:
+        """Record a sign of this instance and tell others when it matters."""
+        server = self.state.directory.servers.get(observation.server_id)
+        self.state.directory.record(observation)
+        if server is None or not is_telling(observation, server.evidence):
+            return
+        if len(self.rows) < MAX_PENDING_ROWS:
+            self.rows.append(observation)
+        if not self.flush_due:
+            self.flush_due = True
+            asyncio.get_running_loop().call_later(
+                EVIDENCE_DELAY_S, self.flush
+            )
+
+    def flush(self) -> None:
+        """Send the signs of the last moment to the region."""
+        self.flush_due = False
+        rows, self.rows = tuple(self.rows), []
+        near = self.members.of_region()
+        if len(near) > MAX_EVIDENCE_PEERS:
+            near = self.rng.sample(near, MAX_EVIDENCE_PEERS)
+        message = peer_messages.Evidence(
+            self.own, self.state.news_revision, rows
+        )
+        for known in near:
+            self.send(known.member.address, message)
+
+    def leave(self) -> None:
+        """Tell the region that this instance ends."""
+        message = peer_messages.Leave(self.own)
+        for known in self.members.of_region():
+            self.send(known.member.address, message)
+
+
+def is_telling(
+    observation: evidence.Observation, known: evidence.ServerEvidence
+) -> bool:
+    """Tell whether other instances can use a sign."""
+    if observation.sign is not evidence.Sign.GOOD:
+        return observation.sign is not evidence.Sign.SHED
+    return (
+        known.failing >= TELLING_FAILING
+        or observation.slowness >= TELLING_SLOWNESS
+        or known.slowness >= TELLING_SLOWNESS
+    )
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/placement.py
@@ -0,0 +1,211 @@
+"""Choice of the backend server with the least expected loss."""
+
+import logging
+import math
+import random
+from typing import NamedTuple
+
+from citronshelf_common import events as log_events
+from citronshelf_common import fleet
+from citronshelf_instance import configuration
+from citronshelf_instance import events
+from citronshelf_instance import registrations
+
+LOG = logging.getLogger(__name__)
+
+# Losses are shares of a request's worth. Servers whose losses differ by less
+# than this share the work; larger values spread it more evenly.
+SPREAD = 0.015
+# A failed idempotent request is mostly saved by a second server.
+IDEMPOTENT_FAILURE_LOSS = 0.4
+FAILURE_LOSS = 1.0
+# Loss of an answer at the target time; it grows with the square of the time.
+LATE_LOSS = 0.3
+# A server that has just started works this much slower.
+WARMUP_SLOWNESS = 2.0
+# What a route takes before its first answer: its share of the target.
+UNKNOWN_TIME_SHARE = 0.3
+TIME_WEIGHT = 0.05
+UNKNOWN_BYTES = 4096.0
+BYTES_WEIGHT = 0.1
+
+
+class Distances(NamedTuple):
+    """Cost of leaving the own zone or region.
+
+    Attributes
+    ----------
+    zone_loss_per_kb : float
+        Share of a request's worth that a kilobyte between zones costs.
+    region_loss_per_kb : float
+    region_latency_s : float
+        Time of a round trip to another region.
+    """
+
+    zone_loss_per_kb: float
+    region_loss_per_kb: float
+    region_latency_s: float
+
+
+class RouteUsage:
+    """What the requests of one route usually take.
+
+    Attributes
+    ----------
+    seconds : float
+        Mean time at a server.
+    answer_bytes : float
+    """
+
+    def __init__(self, *, seconds: float):
+        self.seconds = seconds
+        self.answer_bytes = UNKNOWN_BYTES
+
+    def record(self, seconds: float, answer_bytes: int) -> None:
+        """Take one good answer.
+
+        A straggler counts as at most three times the mean, so that a few do
+        not hide how long most requests take.
+        """
+        seen = min(seconds, 3 * self.seconds)
+        self.seconds += TIME_WEIGHT * (seen - self.seconds)
+        self.answer_bytes += BYTES_WEIGHT * (answer_bytes - self.answer_bytes)
+
+
+class Candidate(NamedTuple):
+    """A server and the expected loss of sending a request there."""
+
+    server: registrations.ServerState
+    loss: float
+    failure_share: float
+
+
+class Placer:
+    """Chooses servers.
+
+    Parameters
+    ----------
+    directory : Directory
+    place : Place
+        Where this instance is.
+    regions : mapping of str to str
+        Region of each zone.
+    distances : Distances
+    clock : callable
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: registrations.Directory,
+        place: fleet.Place,
+        regions,
+        distances: Distances,
+        clock,
+        rng: random.Random,
+    ):
+        self.directory = directory
+        self.place = place
+        self.regions = regions
+        self.distances = distances
+        self.clock = clock
+        self.rng = rng
+        self.usage: dict[str, RouteUsage] = {}
+
+    def usage_of(self, route: configuration.Route) -> RouteUsage:
+        """Return what a route usually takes."""
+        usage = self.usage.get(route.name)
+        if usage is None:
+            seconds = UNKNOWN_TIME_SHARE * route.target_s
+            usage = self.usage[route.name] = RouteUsage(seconds=seconds)
+        return usage
+
+    def choose(
+        self, route, service: str, request_id: str, body_bytes: int, tried
+    ) -> registrations.ServerState | None:
+        """Return the server for one dispatch, None when there is none.
+
+        Parameters
+        ----------
+        route : Route
+        service : str
+        request_id : str
+        body_bytes : int
+        tried : collection of str
+            Servers that this request must not use again.
+        """
+        now = self.clock()
+        servers = [
+            server
+            for server in self.directory.usable(service)
+            if server.server_id not in tried
+        ]
+        # A blocked server is better than none.
+        free = [s for s in servers if s.blocked_until <= now] or servers
+        candidates = [
+            self.weigh(server, route, body_bytes, now) for server in free
+        ]
+        chosen = self.pick(candidates)
+        self.log(chosen, candidates, service, request_id, tried, now)
+        return chosen.server if chosen else None
+
+    def pick(self, candidates: list[Candidate]) -> Candidate | None:
+        """Draw a candidate, more likely one with a small loss."""
+        if not candidates:
+            return None
+        least = min(candidate.loss for candidate in candidates)
+        weights = [math.exp((least - c.loss) / SPREAD) for c in candidates]
+        return self.rng.choices(candidates, weights)[0]
+
+    def weigh(self, server, route, body_bytes: int, now: float) -> Candidate:
+        """Return the expected loss of a dispatch to a server."""
+        usage = self.usage_of(route)
+        failure_share = server.evidence.failure_share(now)
+        weight = (
+            IDEMPOTENT_FAILURE_LOSS if route.idempotent else FAILURE_LOSS
+        )
+        kilobytes = (body_bytes + usage.answer_bytes) / 1024
+        distance_loss, latency_s = self.distance(server, kilobytes)
+        slowness = server.evidence.slowness
+        if now < server.warm_at:
+            slowness = max(slowness, WARMUP_SLOWNESS)
+        waiting = server.running / max(1, server.registration.slots)
+        seconds = latency_s + usage.seconds * slowness * (1 + waiting)
+        late = LATE_LOSS * min(2.0, seconds / route.target_s) ** 2
+        loss = weight * failure_share + distance_loss + late
+        return Candidate(server, loss, failure_share)
+
+    def distance(self, server, kilobytes: float) -> tuple[float, float]:
+        """Return the loss and the latency of the way to a server."""
+        zone = server.registration.zone
+        if zone == self.place.zone:
+            return 0.0, 0.0
+        if self.regions.get(zone) == self.place.region:
+            return kilobytes * self.distances.zone_loss_per_kb, 0.0
+        loss = kilobytes * self.distances.region_loss_per_kb
+        return loss, self.distances.region_latency_s
+
+    def log(self, chosen, candidates, service, request_id, tried, now) -> None:
+        """Log a choice with its inputs."""
+        fields = {
+            'request_id': request_id,
+            'service': service,
+            'candidates': len(candidates),
+            'tried': len(tried),
+            'directory_revision': self.directory.revision,
+            'directory_age_s': round(now - self.directory.revised_s, 3),
+        }
+        if chosen is None:
+            log_events.log_event(LOG, events.NO_SERVER, **fields)
+            return
+        log_events.log_event(
+            LOG,
+            events.SERVER_CHOSEN,
+            server=chosen.server.server_id,
+            loss=round(chosen.loss, 4),
+            failing=round(chosen.server.evidence.failing, 3),
+            slowness=round(chosen.server.evidence.slowness, 2),
+            running=chosen.server.running,
+            **fields,
+        )
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -0,0 +1,104 @@
+"""What is published and in force on this instance."""
+
+import logging
+import random
+
+from citronshelf_common import events as log_events
+from citronshelf_instance import configuration
+from citronshelf_instance import events
+from citronshelf_instance import registrations
+from citronshelf_instance import routing
+
+LOG = logging.getLogger(__name__)
+
+
+class PublishedState:
+    """Configuration in force and registered servers.
+
+    A configuration with a lower revision than the one in force is never
+    taken, whoever sends it.
+
+    Parameters
+    ----------
+    directory : Directory
+    clock : callable
+        Monotonic seconds.
+    rng : random.Random
+
+    Attributes
+    ----------
+    revision : int
+        Everything published up to here is known; 0 before the first reading.
+    news_revision : int
+        Revision of the newest change that was seen.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: registrations.Directory,
+        clock,
+        rng: random.Random,
+    ):
+        self.directory = directory
+        self.clock = clock
+        self.rng = rng
+        self.revision = 0
+        self.news_revision = 0
+        self.configuration: configuration.Configuration | None = None
+        self.routes: routing.RouteTable | None = None
+        self.limits = configuration.CallerLimits()
+
+    def replace(
+        self, snapshot: configuration.Snapshot, *, source: str
+    ) -> None:
+        """Take everything that is published as of one revision."""
+        if snapshot.revision < self.revision:
+            return
+        self.revision = snapshot.revision
+        if snapshot.configuration is not None:
+            self.put_in_force(snapshot.configuration, source)
+        self.directory.replace(snapshot)
+
+    def apply(self, changes: configuration.Changes) -> None:
+        """Take what changed since the last revision."""
+        if changes.revision < self.revision:
+            return
+        self.revision = changes.revision
+        if changes.configuration is not None:
+            self.put_in_force(changes.configuration, 'store')
+        if changes.registrations:
+            self.directory.apply(changes)
+        if changes.configuration or changes.registrations:
+            self.news_revision = changes.revision
+
+    def put_in_force(
+        self, published: configuration.Configuration, source: str
+    ) -> None:
+        """Use a configuration unless it is older than the one in force."""
+        current = self.configuration
+        if current is not None and published.revision <= current.revision:
+            return
+        self.configuration = published
+        self.limits = published.limits
+        self.routes = routing.RouteTable(published=published, rng=self.rng)
+        self.news_revision = max(self.news_revision, published.revision)
+        log_events.log_event(
+            LOG,
+            events.CONFIGURATION_IN_FORCE,
+            revision=published.revision,
+            version=published.version,
+            routes=len(published.routes),
+            services=len(published.services),
+            source=source,
+        )
+
+    def snapshot(self) -> configuration.Snapshot:
+        """Return what an instance that cannot read the store needs."""
+        return configuration.Snapshot(
+            self.revision, self.configuration, self.directory.snapshot()
+        )
+
+    def is_known(self) -> bool:
+        """Tell whether requests can be routed."""
+        return self.routes is not None and self.directory.revision > 0
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/retry_budget.py
@@ -0,0 +1,58 @@
+"""Repeated dispatches, bounded by a share of the fresh requests."""
+
+import collections
+
+
+class RetryBudget:
+    """This instance's part of one service's budget over the fleet.
+
+    The fleet may repeat ``ratio`` of its fresh requests and ``slack`` more in
+    any window. Every instance keeps to the ratio of its own requests and to an
+    equal part of the slack, so that the sum holds while instances cannot
+    reach each other.
+
+    Parameters
+    ----------
+    ratio : float
+        Repeats for each fresh request.
+    slack : float
+        Repeats of the whole fleet in a window beyond the ratio.
+    window_s : float
+    clock : callable
+        Monotonic seconds.
+    """
+
+    def __init__(self, *, ratio: float, slack: float, window_s: float, clock):
+        self.ratio = ratio
+        self.slack = slack
+        self.window_s = window_s
+        self.clock = clock
+        self.fresh: collections.deque[float] = collections.deque()
+        self.repeats: collections.deque[float] = collections.deque()
+
+    def record_fresh(self) -> None:
+        """Count a new request of a caller."""
+        self.fresh.append(self.clock())
+
+    def take(self, instances: int) -> bool:
+        """Spend one repeat if the budget allows it.
+
+        Parameters
+        ----------
+        instances : int
+            Instances that share the slack, this one included.
+        """
+        now = self.clock()
+        expire(self.fresh, now - self.window_s)
+        expire(self.repeats, now - self.window_s)
+        allowed = self.ratio * len(self.fresh) + self.slack / max(1, instances)
+        if len(self.repeats) + 1 > allowed:
+            return False
+        self.repeats.append(now)
+        return True
+
+
+def expire(times: collections.deque, oldest: float) -> None:
+    """Drop the times before a moment."""
+    while times and times[0] < oldest:
+        times.popleft()
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/routing.py
@@ -0,0 +1,82 @@
+"""Selection of a route by host and longest path prefix."""
+
+import random
+from typing import NamedTuple
+
+from citronshelf_instance import configuration
+
+# Steps by this fraction visit every part of the unit interval evenly, so that
+# the shares of a split are met closely after few requests.
+GOLDEN_FRACTION = 0.6180339887498949
+
+
+class RoutedService(NamedTuple):
+    """Route and service of one request."""
+
+    route: configuration.Route
+    service: str
+
+
+class RouteTable:
+    """Routes of one configuration, by host and prefix.
+
+    Parameters
+    ----------
+    published : Configuration
+    rng : random.Random
+        Sets the place at which each split begins.
+    """
+
+    def __init__(
+        self, *, published: configuration.Configuration, rng: random.Random
+    ):
+        self.revision = published.revision
+        self.hosts: dict[str, dict[str, configuration.Route]] = {}
+        self.phases: dict[tuple[str, str], float] = {}
+        for route in published.routes:
+            self.hosts.setdefault(route.host, {})[route.prefix] = route
+            if len(route.parts) > 1:
+                self.phases[route.host, route.prefix] = rng.random()
+
+    def find(self, host: str, path: str) -> configuration.Route | None:
+        """Return the route with the longest prefix of a path.
+
+        Parameters
+        ----------
+        host : str
+            ``Host`` header, with or without port.
+        path : str
+            Path without query.
+        """
+        prefixes = self.hosts.get(normalise_host(host))
+        if prefixes is None:
+            return None
+        end = path.rfind('/') + 1
+        while end > 0:
+            route = prefixes.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end - 1) + 1
+        return None
+
+    def assign(self, route: configuration.Route) -> RoutedService:
+        """Choose one of the services of a route by their weights."""
+        if len(route.parts) == 1:
+            return RoutedService(route, route.parts[0].service)
+        key = (route.host, route.prefix)
+        phase = (self.phases[key] + GOLDEN_FRACTION) % 1.0
+        self.phases[key] = phase
+        point = phase * sum(part.weight for part in route.parts)
+        for part in route.parts:
+            point -= part.weight
+            if point < 0:
+                return RoutedService(route, part.service)
+        return RoutedService(route, route.parts[-1].service)
+
+
+def normalise_host(host: str) -> str:
+    """Return a host in lower case without its port."""
+    name, colon, port = host.rpartition(':')
+    if colon and port.isdigit():
+        host = name
+    return host.lower().rstrip('.')
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/shutdown.py
@@ -0,0 +1,49 @@
+"""Graceful end of an instance."""
+
+import asyncio
+import logging
+import time
+
+from citronshelf_common import events as log_events
+from citronshelf_instance import caller_connection
+from citronshelf_instance import events
+from citronshelf_instance import settings
+
+LOG = logging.getLogger(__name__)
+CHECK_S = 0.05
+
+
+async def shut_down(
+    server: caller_connection.CallerServer, table: settings.ShutdownTable
+) -> None:
+    """Finish every request and end.
+
+    Readiness has fallen before. Callers that the balancer still sends are
+    served for a while; then no connection is accepted, and the process ends
+    when every request is answered.
+    """
+    began_s = time.monotonic()
+    server.draining = True
+    log('accepting', server)
+    await asyncio.sleep(table['accept_s'])
+    server.stop()
+    server.close_idle()
+    log('finishing', server)
+    while not server.is_finished():
+        if time.monotonic() - began_s >= table['end_s']:
+            log('cut', server)
+            return
+        await asyncio.sleep(CHECK_S)
+        server.close_idle()
+    log('finished', server)
+
+
+def log(step: str, server: caller_connection.CallerServer) -> None:
+    """Log one step."""
+    log_events.log_event(
+        LOG,
+        events.SHUTDOWN_STEP,
+        step=step,
+        requests=server.running,
+        connections=len(server.connections),
+    )
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -0,0 +1,200 @@
+"""Reads what is published and follows its changes."""
+
+import asyncio
+import enum
+import logging
+import random
+from typing import NamedTuple
+from typing import Protocol
+
+from expression import Result
+
+from citronshelf_common import events as log_events
+from citronshelf_instance import events
+from citronshelf_instance import published
+
+LOG = logging.getLogger(__name__)
+
+# A change is in force after one pause and one round trip, within half of the
+# 2.5 s that the platform allows; servers that start one after another end one
+# watch for all of each pause.
+PAUSE_AFTER_CHANGE_S = 0.8
+# Other instances tell about changes that a lost answer hid, so a watch may
+# wait long.
+WATCH_S = 20.0
+FIRST_RETRY_S = 0.2
+MAX_RETRY_S = 1.5
+# How long the store may be behind what another instance knows before the
+# watch is taken as lost.
+BEHIND_S = 0.5
+# An outage longer than this may have let registrations lapse.
+LAPSE_OUTAGE_S = 1.0
+
+
+class ReadFault(enum.StrEnum):
+    """Why the store gave no answer that can be used."""
+
+    NO_ANSWER = 'no-answer'
+    REFUSED = 'refused'
+    HISTORY_LOST = 'history-lost'
+
+
+class StoreFault(NamedTuple):
+    """A failed reading."""
+
+    fault: ReadFault
+    reason: str
+
+
+class Store(Protocol):
+    """The platform's store, as its adapter offers it."""
+
+    async def read_all(self) -> Result:
+        """Return ``Ok`` with a ``Snapshot`` or ``Error``."""
+
+    async def watch(self, after: int, wait_s: float) -> Result:
+        """Return ``Ok`` with ``Changes`` after a revision, or ``Error``."""
+
+
+class StoreReader:
+    """Keeps the published state up to date.
+
+    Parameters
+    ----------
+    store : Store
+    state : PublishedState
+    ask_peers : callable
+        Asks another instance for its state.
+    clock : callable
+        Monotonic seconds.
+    rng : random.Random
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        state: published.PublishedState,
+        ask_peers,
+        clock,
+        rng: random.Random,
+    ):
+        self.store = store
+        self.state = state
+        self.ask_peers = ask_peers
+        self.clock = clock
+        self.rng = rng
+        self.answers = True
+        self.is_synced = False
+        self.lost_s: float | None = None
+        self.retry_s = FIRST_RETRY_S
+        self.behind = asyncio.Event()
+        self.calls = 0
+
+    async def run(self) -> None:
+        """Read and watch until cancelled."""
+        while True:
+            if self.is_synced:
+                await self.watch()
+            else:
+                await self.read_all()
+            self.state.directory.drop_lapsed()
+
+    async def read_all(self) -> None:
+        """Read everything once."""
+        self.calls += 1
+        read = await self.store.read_all()
+        if read.is_error():
+            await self.fail(read.error)
+            return
+        self.note_answer()
+        self.state.replace(read.ok, source='store')
+        self.is_synced = True
+
+    async def watch(self) -> None:
+        """Wait for changes once."""
+        self.calls += 1
+        watching = asyncio.ensure_future(
+            self.store.watch(self.state.revision, WATCH_S)
+        )
+        behind = asyncio.ensure_future(self.wait_behind())
+        try:
+            await asyncio.wait(
+                {watching, behind}, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            behind.cancel()
+            if not watching.done():
+                watching.cancel()
+        if not watching.done() or watching.cancelled():
+            # The next watch begins at the revision that is known by then.
+            return
+        changed = watching.result()
+        if changed.is_error():
+            await self.fail(changed.error)
+            return
+        self.note_answer()
+        self.state.apply(changed.ok)
+        if changed.ok.registrations or changed.ok.configuration:
+            await asyncio.sleep(PAUSE_AFTER_CHANGE_S)
+
+    async def wait_behind(self) -> None:
+        """Wait until another instance has known more for a while."""
+        self.behind.clear()
+        await self.behind.wait()
+        await asyncio.sleep(BEHIND_S * self.rng.uniform(1, 2))
+
+    def note_peer_revision(self, revision: int) -> None:
+        """Take the newest revision that another instance knows.
+
+        It asks that instance when the store does not answer here.
+        """
+        if revision <= self.state.revision:
+            return
+        if self.answers:
+            self.behind.set()
+        else:
+            self.ask_peers()
+
+    def note_answer(self) -> None:
+        """Remember that the store answered."""
+        now = self.clock()
+        if not self.answers:
+            away_s = now - self.lost_s
+            if away_s >= LAPSE_OUTAGE_S:
+                self.state.directory.note_store_returned()
+            log_events.log_event(
+                LOG,
+                events.STORE_REGAINED,
+                away_s=round(away_s, 3),
+                revision=self.state.revision,
+            )
+        self.answers = True
+        self.lost_s = None
+        self.retry_s = FIRST_RETRY_S
+
+    async def fail(self, fault: StoreFault) -> None:
+        """Remember a failed reading and wait before the next one."""
+        if fault.fault is ReadFault.HISTORY_LOST:
+            self.note_answer()
+            self.is_synced = False
+            log_events.log_event(
+                LOG,
+                events.STORE_LOST,
+                reason=fault.reason,
+                revision=self.state.revision,
+            )
+            await asyncio.sleep(self.rng.uniform(0, FIRST_RETRY_S))
+            return
+        if self.answers:
+            self.lost_s = self.clock()
+            log_events.log_event(
+                LOG,
+                events.STORE_LOST,
+                reason=fault.reason,
+                revision=self.state.revision,
+            )
+        self.answers = False
+        self.ask_peers()
+        await asyncio.sleep(self.retry_s * self.rng.uniform(0.5, 1.0))
+        self.retry_s = min(2 * self.retry_s, MAX_RETRY_S)
--- a/libs/citronshelf_peering/citronshelf_peering/links.py
+++ b/libs/citronshelf_peering/citronshelf_peering/links.py
@@ -73,8 +73,10 @@
     return authenticator
 
 
-def make_socket(context, kind: int, keys: KeyPair) -> zmq.asyncio.Socket:
-    """Return a socket with bounded queues and CURVE."""
+def make_socket(
+    context, kind: int, keys: KeyPair | None
+) -> zmq.asyncio.Socket:
+    """Return a socket with bounded queues, and CURVE with a key pair."""
     socket = context.socket(kind)
     socket.setsockopt(zmq.LINGER, 0)
     socket.setsockopt(zmq.SNDHWM, QUEUE_MESSAGES)
@@ -82,26 +84,29 @@
     socket.setsockopt(zmq.MAXMSGSIZE, messages.wire.MAX_MESSAGE_BYTES)
     socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
     socket.setsockopt(zmq.BACKLOG, BACKLOG)
-    socket.curve_publickey = keys.public
-    socket.curve_secretkey = keys.secret
+    if keys is not None:
+        socket.curve_publickey = keys.public
+        socket.curve_secretkey = keys.secret
     return socket
 
 
-def make_router(context, address: fleet.Address, keys: KeyPair):
-    """Return a bound ROUTER that admits only the environment's key."""
+def make_router(context, address: fleet.Address, keys: KeyPair | None):
+    """Return a bound ROUTER that admits only the environment's key, if any."""
     router = make_socket(context, zmq.ROUTER, keys)
-    router.curve_server = True
-    router.zap_domain = ZAP_DOMAIN.encode()
+    if keys is not None:
+        router.curve_server = True
+        router.zap_domain = ZAP_DOMAIN.encode()
     router.setsockopt(zmq.ROUTER_MANDATORY, 1)
     router.setsockopt(zmq.IPV6, ':' in address.ip)
     router.bind(f'tcp://{address.authority()}')
     return router
 
 
-def make_dealer(context, address: fleet.Address, keys: KeyPair):
+def make_dealer(context, address: fleet.Address, keys: KeyPair | None):
     """Return a DEALER that connects to a ROUTER of the environment."""
     dealer = make_socket(context, zmq.DEALER, keys)
-    dealer.curve_serverkey = keys.public
+    if keys is not None:
+        dealer.curve_serverkey = keys.public
     # Nothing is queued for a connection that does not exist.
     dealer.setsockopt(zmq.IMMEDIATE, 1)
     dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
@@ -130,13 +135,16 @@
     ----------
     address : Address
         Where the ROUTER binds.
-    keys : KeyPair
+    keys : KeyPair or None
+        None on a network that admits only instances of the environment.
     """
 
-    def __init__(self, *, address: fleet.Address, keys: KeyPair):
+    def __init__(self, *, address: fleet.Address, keys: KeyPair | None):
         self.keys = keys
         self.context = zmq.asyncio.Context()
-        self.authenticator = start_authenticator(self.context, keys)
+        self.authenticator = None
+        if keys is not None:
+            self.authenticator = start_authenticator(self.context, keys)
         self.dealers: dict[fleet.Address, zmq.asyncio.Socket] = {}
         self.tasks: dict[fleet.Address, asyncio.Task] = {}
         self.on_message: OnMessage = lambda route, data: None
@@ -146,8 +154,7 @@
         try:
             self.router = make_router(self.context, address, keys)
         except zmq.ZMQError as error:
-            self.authenticator.stop()
-            self.context.destroy(0)
+            self.end_context()
             raise OSError(f'{address.authority()}: {error}') from error
 
     async def run(self) -> None:
@@ -213,5 +220,10 @@
         for address in list(self.dealers):
             self.disconnect(address)
         self.router.close(0)
-        self.authenticator.stop()
+        self.end_context()
+
+    def end_context(self) -> None:
+        """Stop the ZAP handler and the threads of ZeroMQ."""
+        if self.authenticator is not None:
+            self.authenticator.stop()
         self.context.destroy(0)
