--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 VENV := .venv
 PYTHON ?= python3
-LIBS := $(wildcard libs/*)
+LIBS := $(wildcard libs/*) platform
 
 .PHONY: setup demo test lint format failures measure
 
 setup: $(VENV)/installed
 
-$(VENV)/installed: requirements.lock $(wildcard libs/*/pyproject.toml)
+$(VENV)/installed: requirements.lock $(addsuffix /pyproject.toml,$(LIBS))
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet -r requirements.lock
 	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation \
@@ -22,10 +22,10 @@
 
 lint: setup
 	$(VENV)/bin/ruff format --check .
-	$(VENV)/bin/flake8 libs tests measures
+	$(VENV)/bin/flake8 libs platform tests measures
 
 test: setup
-	$(VENV)/bin/python -m pytest libs tests
+	$(VENV)/bin/python -m pytest libs platform tests
 
 failures: setup
 	$(VENV)/bin/python -m pytest tests -s
--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -114,13 +114,17 @@
         """
         gone = asyncio.Event()
         self.stream.set_close_callback(gone.set)
-        watch = asyncio.create_task(gone.wait())
+        waits = {
+            asyncio.create_task(gone.wait()),
+            asyncio.create_task(self.wait_answered()),
+        }
         try:
             await asyncio.wait(
-                {writer, watch}, return_when=asyncio.FIRST_COMPLETED
+                {writer, *waits}, return_when=asyncio.FIRST_COMPLETED
             )
         finally:
-            watch.cancel()
+            for wait in waits:
+                wait.cancel()
 
     def drop_pending(self) -> None:
         """Stop requests whose caller is gone."""
--- /dev/null
+++ b/libs/citronshelf_instance/tests/instance_builders.py
@@ -0,0 +1,88 @@
+"""Builders shared by the tests of the instance."""
+
+import random
+
+from citronshelf_common import fleet
+from citronshelf_instance import configuration
+from citronshelf_instance import placement
+from citronshelf_instance import registrations
+
+
+class FakeClock:
+    """Monotonic seconds that a test sets."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+    def advance(self, seconds):
+        self.now += seconds
+
+
+def make_route(**changes):
+    """Return a route to one service."""
+    values = {
+        'name': 'lookup',
+        'host': 'a.example',
+        'prefix': '/a/',
+        'parts': (configuration.WeightedService('ledger', 1.0),),
+        'idempotent': True,
+        'max_servers': 2,
+        'timeout_s': 1.5,
+        'target_s': 0.6,
+        'priority': 1,
+    }
+    return configuration.Route(**(values | changes))
+
+
+def make_configuration(*routes, **changes):
+    """Return a configuration of some routes."""
+    values = {
+        'revision': 5,
+        'version': 1,
+        'routes': routes or (make_route(),),
+        'services': ('ledger',),
+        'limits': configuration.CallerLimits(),
+    }
+    return configuration.Configuration(**(values | changes))
+
+
+def make_registration(server_id='s1', **changes):
+    """Return a registration of a ready server."""
+    values = {
+        'server_id': server_id,
+        'service': 'ledger',
+        'address': fleet.Address('127.0.0.1', 9),
+        'zone': 'howrah',
+        'slots': 2,
+        'draining': False,
+        'warmup_s': 0.0,
+        'started_ms': 0,
+    }
+    return configuration.Registration(**(values | changes))
+
+
+def make_directory(clock, *entries):
+    """Return a directory of some registrations."""
+    directory = registrations.Directory(clock=clock)
+    directory.replace(configuration.Snapshot(1, None, entries))
+    return directory
+
+
+def make_placer(directory, clock, seed=1):
+    """Return a placer of an instance in zone howrah."""
+    return placement.Placer(
+        directory=directory,
+        place=fleet.Place('kolkata', 'howrah'),
+        regions={
+            'howrah': 'kolkata',
+            'sealdah': 'kolkata',
+            'matigara': 'siliguri',
+        },
+        distances=placement.Distances(0.005, 0.032, 0.04),
+        clock=clock,
+        rng=random.Random(seed),
+    )
+
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -0,0 +1,255 @@
+"""Tests of the connections of callers, over real sockets."""
+
+import asyncio
+
+import pytest
+
+from citronshelf_instance import answers
+from citronshelf_instance import caller_connection
+from citronshelf_instance import caller_request
+from citronshelf_instance import configuration
+
+SHORT = configuration.CallerLimits(
+    max_head_bytes=1024,
+    max_body_bytes=1000,
+    head_timeout_s=0.3,
+    idle_timeout_s=0.3,
+)
+
+
+class Backend:
+    """Handles requests as a test says.
+
+    Parameters
+    ----------
+    delays : dict
+        Seconds by path; requests that are absent are answered at once.
+    """
+
+    def __init__(self, delays=None, limits=SHORT):
+        self.delays = delays or {}
+        self.limits = limits
+        self.begun = []
+        self.ended = []
+        self.cancelled = []
+
+    async def handle(self, request):
+        path = request.head.path
+        self.begun.append(path)
+        try:
+            await asyncio.sleep(self.delays.get(path, 0))
+        except asyncio.CancelledError:
+            self.cancelled.append(path)
+            raise
+        self.ended.append(path)
+        return answers.Answer(200, (), path.encode() + request.body)
+
+    async def __aenter__(self):
+        service = caller_connection.Service(
+            handle=self.handle,
+            may_run_ahead=lambda head: head.method == 'GET',
+            limits=lambda: self.limits,
+            names=caller_request.HeaderNames(),
+        )
+        self.server = caller_connection.CallerServer(
+            service=service, max_connections=4
+        )
+        self.server.listen(0, '127.0.0.1')
+        sockets = list(self.server._sockets.values())
+        self.port = sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_details):
+        self.server.stop()
+
+    async def connect(self):
+        return await asyncio.open_connection('127.0.0.1', self.port)
+
+
+def request_bytes(path, method='GET', body=b'', extra=''):
+    length = f'Content-Length: {len(body)}\r\n' if body else ''
+    head = f'{method} {path} HTTP/1.1\r\nHost: a\r\n{length}{extra}\r\n'
+    return head.encode() + body
+
+
+async def read_answer(reader):
+    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    length = 0
+    for line in head.lower().split('\r\n'):
+        if line.startswith('content-length:'):
+            length = int(line.partition(':')[2])
+    return head, await reader.readexactly(length)
+
+
+class TestOrder:
+    """Requests run side by side and are answered in order."""
+
+    def test_pipelined_requests_run_at_once(self):
+        async def run():
+            async with Backend({'/1': 0.15, '/2': 0.1}) as backend:
+                reader, writer = await backend.connect()
+                writer.write(request_bytes('/1') + request_bytes('/2'))
+                bodies = [(await read_answer(reader))[1] for _ in range(2)]
+                writer.close()
+                return bodies, backend.ended
+
+        bodies, ended = asyncio.run(run())
+        assert bodies == [b'/1', b'/2']
+        assert ended == ['/2', '/1']
+
+    def test_request_that_must_not_repeat_waits_for_earlier_ones(self):
+        async def run():
+            async with Backend({'/1': 0.1}) as backend:
+                reader, writer = await backend.connect()
+                writer.write(
+                    request_bytes('/1')
+                    + request_bytes('/2', 'POST', b'x')
+                    + request_bytes('/3')
+                )
+                bodies = [(await read_answer(reader))[1] for _ in range(3)]
+                writer.close()
+                return bodies, backend.begun, backend.ended
+
+        bodies, begun, ended = asyncio.run(run())
+        assert bodies == [b'/1', b'/2x', b'/3']
+        assert ended.index('/1') < begun.index('/2') + 1
+
+    def test_requests_behind_a_close_do_not_run(self):
+        async def run():
+            async with Backend() as backend:
+                reader, writer = await backend.connect()
+                writer.write(
+                    request_bytes('/1', extra='Connection: close\r\n')
+                    + request_bytes('/2')
+                )
+                head, _ = await read_answer(reader)
+                rest = await reader.read()
+                return head, rest, backend.begun
+
+        head, rest, begun = asyncio.run(run())
+        assert 'Connection: close' in head
+        assert (rest, begun) == (b'', ['/1'])
+
+    def test_draining_server_answers_what_it_began_and_closes(self):
+        async def run():
+            async with Backend({'/1': 0.1}) as backend:
+                reader, writer = await backend.connect()
+                writer.write(request_bytes('/1'))
+                await asyncio.sleep(0.05)
+                backend.server.draining = True
+                head, body = await read_answer(reader)
+                return head, body, await reader.read()
+
+        head, body, rest = asyncio.run(run())
+        assert (body, rest) == (b'/1', b'')
+        assert 'Connection: close' in head
+
+
+class TestCallerLeaves:
+    """Work whose caller closed its connection is stopped."""
+
+    @pytest.mark.parametrize('extra', ['', 'Connection: close\r\n'])
+    def test_running_request_is_cancelled(self, extra):
+        async def run():
+            async with Backend({'/1': 5}) as backend:
+                _, writer = await backend.connect()
+                writer.write(request_bytes('/1', extra=extra))
+                await asyncio.sleep(0.05)
+                writer.close()
+                await asyncio.sleep(0.1)
+                return backend.cancelled
+
+        assert asyncio.run(run()) == ['/1']
+
+    def test_request_left_in_its_body_does_not_run(self):
+        async def run():
+            async with Backend() as backend:
+                _, writer = await backend.connect()
+                writer.write(request_bytes('/1', 'POST', b'abc')[:-1])
+                await asyncio.sleep(0.05)
+                writer.close()
+                await asyncio.sleep(0.05)
+                return backend.begun, backend.server.bodies.size
+
+        assert asyncio.run(run()) == ([], 0)
+
+
+class TestBodies:
+    """Bodies arrive whole, with a length or in chunks."""
+
+    def test_chunked_body(self):
+        async def run():
+            async with Backend() as backend:
+                reader, writer = await backend.connect()
+                extra = 'Transfer-Encoding: chunked\r\n'
+                writer.write(request_bytes('/1', 'POST', extra=extra))
+                writer.write(b'3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\n')
+                return (await read_answer(reader))[1]
+
+        assert asyncio.run(run()) == b'/1abcde'
+
+    def test_interim_answer_is_sent_when_asked_for(self):
+        async def run():
+            async with Backend() as backend:
+                reader, writer = await backend.connect()
+                extra = 'Expect: 100-continue\r\n'
+                data = request_bytes('/1', 'POST', b'ab', extra)
+                writer.write(data[:-2])
+                interim = await reader.readuntil(b'\r\n\r\n')
+                writer.write(b'ab')
+                return interim, (await read_answer(reader))[1]
+
+        interim, body = asyncio.run(run())
+        assert interim.startswith(b'HTTP/1.1 100')
+        assert body == b'/1ab'
+
+    @pytest.mark.parametrize(
+        'data, status',
+        [
+            (request_bytes('/1', 'POST', b'x' * 1001), 413),
+            (
+                request_bytes(
+                    '/1', 'POST', extra='Transfer-Encoding: chunked\r\n'
+                )
+                + b'zz\r\n',
+                400,
+            ),
+            (request_bytes('/1', extra='A: ' + 'x' * 1100 + '\r\n'), None),
+        ],
+    )
+    def test_bad_request_is_refused_and_does_not_run(self, data, status):
+        async def run():
+            async with Backend() as backend:
+                reader, writer = await backend.connect()
+                writer.write(data)
+                answer = await reader.read()
+                return answer, backend.begun
+
+        answer, begun = asyncio.run(run())
+        assert begun == []
+        if status is not None:
+            assert answer.startswith(f'HTTP/1.1 {status}'.encode())
+            assert b'Connection: close' in answer
+
+
+class TestTimeLimits:
+    """Idle and slow callers are disconnected, busy ones are not."""
+
+    @pytest.mark.parametrize('data', [b'', b'GET /1 HT'])
+    def test_silent_caller_is_disconnected(self, data):
+        async def run():
+            async with Backend() as backend:
+                reader, writer = await backend.connect()
+                writer.write(data)
+                return await asyncio.wait_for(reader.read(), 2)
+
+        assert asyncio.run(run()) == b''
+
+    def test_waiting_caller_is_not_idle(self):
+        async def run():
+            async with Backend({'/1': 0.7}) as backend:
+                reader, writer = await backend.connect()
+                writer.write(request_bytes('/1'))
+                return (await read_answer(reader))[1]
+
+        assert asyncio.run(run()) == b'/1'
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_caller_request.py
@@ -0,0 +1,80 @@
+"""Tests of the heads of requests."""
+
+import pytest
+
+from citronshelf_instance import caller_request
+
+NAMES = caller_request.HeaderNames()
+
+
+def parse(*lines, start='GET /a/x?q=1 HTTP/1.1'):
+    data = '\r\n'.join((start, *lines, '', '')).encode('latin-1')
+    return caller_request.parse_head(data, NAMES)
+
+
+class TestHead:
+    """What a head says."""
+
+    def test_reads_a_plain_head(self):
+        head = parse(
+            'Host: a.example', 'X-Request-Id: r1', 'X-Deadline-Ms: 2500'
+        ).ok
+        assert head.path == '/a/x'
+        assert head.target == '/a/x?q=1'
+        assert (head.request_id, head.deadline_s) == ('r1', 2.5)
+        assert head.framing.length == 0
+        assert head.keeps_open
+
+    def test_makes_an_identity_when_there_is_none(self):
+        assert len(parse('Host: a').ok.request_id) == 16
+
+    @pytest.mark.parametrize('text', ['', 'soon', '-1', '1.5', '9' * 13])
+    def test_ignores_a_malformed_deadline(self, text):
+        assert parse('Host: a', f'X-Deadline-Ms: {text}').ok.deadline_s is None
+
+    @pytest.mark.parametrize(
+        'start, line, kept',
+        [
+            ('GET / HTTP/1.1', 'Connection: close', False),
+            ('GET / HTTP/1.1', 'Connection: keep-alive', True),
+            ('GET / HTTP/1.0', 'Accept: */*', False),
+            ('GET / HTTP/1.0', 'Connection: Keep-Alive', True),
+        ],
+    )
+    def test_knows_whether_the_caller_keeps_its_connection(
+        self, start, line, kept
+    ):
+        assert parse('Host: a', line, start=start).ok.keeps_open is kept
+
+    def test_reads_framing_and_expectation(self):
+        head = parse(
+            'Host: a',
+            'Transfer-Encoding: chunked',
+            'Expect: 100-continue',
+            start='POST /a/ HTTP/1.1',
+        ).ok
+        assert head.framing.chunked
+        assert head.continues
+
+
+class TestRefusals:
+    """Heads that parsers may read differently are refused."""
+
+    @pytest.mark.parametrize(
+        'start, lines, status',
+        [
+            ('GET / HTTP/1.1', (), 400),
+            ('GET / HTTP/1.1', ('Host: a', 'Host: b'), 400),
+            ('GET a HTTP/1.1', ('Host: a',), 400),
+            ('CONNECT /a HTTP/1.1', ('Host: a',), 501),
+            ('GET / HTTP/1.1', ('Host: a', 'Content-Length: x'), 400),
+            (
+                'POST / HTTP/1.1',
+                ('Host: a', 'Content-Length: 1', 'Transfer-Encoding: chunked'),
+                400,
+            ),
+            ('POST / HTTP/1.1', ('Host: a', 'Bad Name: 1'), 400),
+        ],
+    )
+    def test_is_refused(self, start, lines, status):
+        assert parse(*lines, start=start).error.status == status
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_evidence.py
@@ -0,0 +1,72 @@
+"""Tests of the belief about a server."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+import pytest
+
+from citronshelf_instance import evidence
+
+SIGNS = st.lists(
+    st.tuples(
+        st.floats(0, 20), st.sampled_from(evidence.Sign), st.floats(0, 100)
+    ),
+    max_size=50,
+)
+
+
+def observe(known, sign, now, slowness=0.0):
+    known.record(evidence.Observation('s1', sign, slowness), now)
+
+
+class TestFailing:
+    """Failures raise the belief, good answers and time lower it."""
+
+    def test_two_failures_make_a_suspect(self):
+        known = evidence.ServerEvidence(now=0.0)
+        observe(known, evidence.Sign.FAILED, 0.1)
+        observe(known, evidence.Sign.FAILED, 0.2)
+        assert known.failing > 0.95
+
+    def test_one_failure_among_many_answers_passes(self):
+        known = evidence.ServerEvidence(now=0.0)
+        for n in range(10):
+            observe(known, evidence.Sign.GOOD, n / 10)
+        observe(known, evidence.Sign.FAILED, 1.1)
+        after_failure = known.failing
+        for n in range(8):
+            observe(known, evidence.Sign.GOOD, 1.2 + n / 10)
+        assert known.failing < 0.1 < after_failure
+
+    def test_recovers_without_requests(self):
+        known = evidence.ServerEvidence(now=0.0)
+        for n in range(5):
+            observe(known, evidence.Sign.FAILED, n / 10)
+        assert known.failure_share(0.5) > 0.5
+        assert known.failure_share(15.0) < 0.1
+
+    def test_shed_requests_say_nothing_about_failing(self):
+        known = evidence.ServerEvidence(now=0.0)
+        observe(known, evidence.Sign.SHED, 0.0)
+        assert known.failing == pytest.approx(evidence.PRIOR)
+
+    @given(SIGNS)
+    def test_stays_a_probability(self, signs):
+        known = evidence.ServerEvidence(now=0.0)
+        now = 0.0
+        for gap, sign, slowness in signs:
+            now += gap
+            observe(known, sign, now, slowness)
+            assert 0.0 <= known.failing <= 1.0
+            assert 0.0 < known.slowness <= evidence.MAX_SLOWNESS
+
+
+class TestSlowness:
+    """Slowness follows what is observed and returns to normal."""
+
+    def test_follows_slow_answers_and_forgets_them(self):
+        known = evidence.ServerEvidence(now=0.0)
+        for n in range(10):
+            observe(known, evidence.Sign.GOOD, n / 10, slowness=5.0)
+        assert known.slowness > 4.0
+        known.advance(30.0)
+        assert known.slowness == pytest.approx(1.0, abs=0.01)
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -0,0 +1,295 @@
+"""Tests of one request from its route to its outcome, over real sockets."""
+
+import asyncio
+import time
+
+import pytest
+
+from citronshelf_common import fleet
+from citronshelf_common import outcomes
+from citronshelf_entry import headers
+from citronshelf_entry import upstream
+from citronshelf_instance import caller_request
+from citronshelf_instance import evidence
+from citronshelf_instance import forwarding
+from citronshelf_instance import metrics
+from citronshelf_instance import routing
+from instance_builders import make_directory
+from instance_builders import make_placer
+from instance_builders import make_registration
+from instance_builders import make_route
+
+NAMES = caller_request.HeaderNames()
+GOOD = b'HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nok'
+ERROR = b'HTTP/1.1 500 No\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nno'
+SHED = b'HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
+MOVED = b'HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n'
+BARE_503 = b'HTTP/1.1 503 No\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n'
+UNSIGNED = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+ENCODED = (
+    b'HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Encoding: gzip\r\n'
+    b'Content-Length: 2\r\n\r\nok'
+)
+SHORT = b'HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 9\r\n\r\nok'
+UNFRAMED = b'HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\nwhole'
+OTHER = GOOD.replace(b'X-Signature', b'X-Request-Id: zz\r\nX-Signature')
+SURPLUS = GOOD + GOOD
+HANG = None
+CLOSE = b''
+
+
+class Servers:
+    """Backend servers that answer with fixed bytes.
+
+    Parameters
+    ----------
+    scripts : list
+        Bytes of each server; ``HANG`` never answers.
+    """
+
+    def __init__(self, scripts):
+        self.scripts = scripts
+        self.heads = []
+        self.closed = []
+        self.servers = []
+
+    async def __aenter__(self):
+        for number in range(len(self.scripts)):
+            server = await asyncio.start_server(
+                lambda r, w, n=number: self.serve(n, r, w), '127.0.0.1', 0
+            )
+            self.servers.append(server)
+        return self
+
+    async def __aexit__(self, *_details):
+        for server in self.servers:
+            server.close()
+
+    def registrations(self):
+        return [
+            make_registration(
+                f's{number}',
+                address=fleet.Address(
+                    '127.0.0.1', server.sockets[0].getsockname()[1]
+                ),
+            )
+            for number, server in enumerate(self.servers)
+        ]
+
+    async def serve(self, number, reader, writer):
+        head = await reader.readuntil(b'\r\n\r\n')
+        self.heads.append((number, head.decode()))
+        if self.scripts[number] is HANG:
+            await reader.read()
+            self.closed.append(number)
+        else:
+            writer.write(self.scripts[number])
+            await writer.drain()
+        writer.close()
+
+
+def make_request(body=b'', method='GET', deadline_s=2.0):
+    head = caller_request.Head(
+        method=method,
+        target='/a/x',
+        host='a.example',
+        headers=(('Host', 'a.example'), ('X-Own', '1'), ('Te', 'x')),
+        framing=headers.Framing(len(body), False),
+        request_id='r1',
+        deadline_s=deadline_s,
+        keeps_open=True,
+        continues=False,
+    )
+    return caller_request.CallerRequest(head, body, time.monotonic())
+
+
+class Rig:
+    """Forwarder in front of scripted servers; the first is preferred."""
+
+    def __init__(self, *scripts, ratio=0.0, slack=10.0, extra=()):
+        self.servers = Servers(list(scripts))
+        self.ratio, self.slack = ratio, slack
+        self.extra = extra
+        self.signs = []
+
+    async def __aenter__(self):
+        await self.servers.__aenter__()
+        entries = self.servers.registrations()
+        self.directory = make_directory(
+            time.monotonic, *self.extra, *entries
+        )
+        for entry in entries[1:]:
+            state = self.directory.servers[entry.server_id]
+            state.evidence.slowness = 1.0 + int(entry.server_id[1:])
+        self.client = upstream.UpstreamClient()
+        self.forwarder = forwarding.Forwarder(
+            placer=make_placer(self.directory, time.monotonic),
+            client=self.client,
+            names=NAMES,
+            terms=forwarding.BudgetTerms(self.ratio, self.slack, 10.0),
+            instances=lambda: 1,
+            observe=self.signs.append,
+            metrics=metrics.InstanceMetrics(),
+            clock=time.monotonic,
+        )
+        return self
+
+    async def __aexit__(self, *_details):
+        self.client.close()
+        await self.servers.__aexit__()
+
+    async def run(self, request=None, **route):
+        made = make_route(**route)
+        routed = routing.RoutedService(made, 'ledger')
+        return await self.forwarder.run(request or make_request(), routed)
+
+
+def run_with(*scripts, request=None, rig=None, **route):
+    """Return the outcome, the heads that servers read, and the rig."""
+
+    async def run():
+        made = rig or Rig(*scripts)
+        async with made:
+            outcome = await made.run(request, **route)
+            await asyncio.sleep(0.05)
+        return outcome, made.servers.heads, made
+
+    return asyncio.run(run())
+
+
+class TestAnswers:
+    """What the caller gets from one server's answer."""
+
+    @pytest.mark.parametrize('script', [GOOD, SURPLUS])
+    def test_whole_answer_is_passed_on(self, script):
+        outcome, heads, _ = run_with(script)
+        assert (outcome.status, outcome.body) == (200, b'ok')
+        assert len(heads) == 1
+
+    def test_answer_that_ends_with_its_connection_is_whole(self):
+        outcome, _, _ = run_with(UNFRAMED)
+        assert outcome.body == b'whole'
+
+    def test_servers_failure_is_passed_on_unchanged(self):
+        outcome, _, _ = run_with(ERROR, idempotent=False)
+        assert (outcome.status, outcome.body) == (500, b'no')
+
+    @pytest.mark.parametrize(
+        'script', [BARE_503, UNSIGNED, ENCODED, SHORT, OTHER, CLOSE]
+    )
+    def test_untrustworthy_answer_is_unknown(self, script):
+        outcome, heads, rig = run_with(script, GOOD, idempotent=False)
+        assert isinstance(outcome, outcomes.Unknown)
+        assert len(heads) == 1
+        assert rig.signs[-1].sign is evidence.Sign.FAILED
+
+
+class TestHeaders:
+    """What a server reads."""
+
+    def test_headers_of_the_instance_and_of_the_caller(self):
+        _, heads, _ = run_with(GOOD)
+        lines = heads[0][1].split('\r\n')
+        assert lines[0] == 'GET /a/x HTTP/1.1'
+        assert 'Host: a.example' in lines
+        assert 'X-Own: 1' in lines
+        assert 'X-Request-Id: r1' in lines
+        assert 'X-Expected-Server: s0' in lines
+        assert not any(line.startswith('Te:') for line in lines)
+        deadline = [li for li in lines if li.startswith('X-Deadline-Ms')]
+        assert 1000 < int(deadline[0].partition(':')[2]) <= 1500
+
+
+class TestRepeats:
+    """What may run twice is repeated, what may not never is."""
+
+    @pytest.mark.parametrize('script', [ERROR, CLOSE, SHORT, UNSIGNED])
+    def test_idempotent_request_is_repeated_elsewhere(self, script):
+        outcome, heads, _ = run_with(script, GOOD)
+        assert outcome.status == 200
+        assert [number for number, _ in heads] == [0, 1]
+
+    @pytest.mark.parametrize('script', [ERROR, CLOSE, SHORT, UNSIGNED])
+    def test_other_request_is_not(self, script):
+        _, heads, _ = run_with(script, GOOD, idempotent=False)
+        assert [number for number, _ in heads] == [0]
+
+    @pytest.mark.parametrize('script', [SHED, MOVED])
+    @pytest.mark.parametrize('idempotent', [True, False])
+    def test_refused_request_goes_to_another_server(self, script, idempotent):
+        outcome, heads, _ = run_with(script, GOOD, idempotent=idempotent)
+        assert outcome.status == 200
+        assert [number for number, _ in heads] == [0, 1]
+
+    def test_route_bounds_the_servers(self):
+        outcome, heads, _ = run_with(SHED, SHED, GOOD)
+        assert isinstance(outcome, outcomes.NotRun)
+        assert len(heads) == 2
+
+    def test_budget_bounds_the_repeats(self):
+        rig = Rig(ERROR, GOOD, slack=0.0)
+        outcome, heads, _ = run_with(rig=rig)
+        assert outcome.status == 500
+        assert len(heads) == 1
+
+    def test_unreachable_server_counts_as_no_dispatch(self):
+        closed = make_registration(
+            'closed', address=fleet.Address('127.0.0.1', 1)
+        )
+        rig = Rig(GOOD, slack=0.0, extra=[closed])
+        rig.servers.scripts[0] = GOOD
+
+        async def run():
+            async with rig:
+                rig.directory.servers['s0'].evidence.slowness = 8.0
+                return await rig.run(idempotent=False, max_servers=1)
+
+        assert asyncio.run(run()).status == 200
+
+
+class TestTime:
+    """Overdue answers, deadlines and callers that leave."""
+
+    def test_second_server_saves_an_overdue_idempotent_request(self):
+        outcome, heads, rig = run_with(HANG, GOOD, target_s=0.2)
+        assert outcome.status == 200
+        assert [number for number, _ in heads] == [0, 1]
+        assert rig.signs[0].sign is evidence.Sign.STALLED
+        assert rig.servers.closed == [0]
+
+    def test_overdue_request_that_must_not_repeat_ends_at_the_timeout(self):
+        began = time.monotonic()
+        outcome, heads, _ = run_with(
+            HANG, GOOD, idempotent=False, timeout_s=0.4
+        )
+        assert outcome == outcomes.Unknown(reason='timeout')
+        assert 0.35 < time.monotonic() - began < 0.9
+        assert len(heads) == 1
+
+    def test_deadline_of_the_caller_counts_when_it_is_shorter(self):
+        request = make_request(deadline_s=0.2)
+        outcome, _, _ = run_with(HANG, request=request, idempotent=False)
+        assert outcome == outcomes.Unknown(reason='timeout')
+
+    def test_server_sees_that_the_caller_left(self):
+        async def run():
+            async with Rig(HANG) as rig:
+                task = asyncio.create_task(rig.run(idempotent=False))
+                await asyncio.sleep(0.1)
+                task.cancel()
+                await asyncio.sleep(0.1)
+                return rig.servers.closed
+
+        assert asyncio.run(run()) == [0]
+
+    def test_server_that_left_meanwhile_gets_nothing(self):
+        async def run():
+            async with Rig(GOOD) as rig:
+                task = asyncio.create_task(rig.run())
+                await asyncio.sleep(0)
+                rig.directory.servers.clear()
+                return await task, rig.servers.heads
+
+        outcome, heads = asyncio.run(run())
+        assert isinstance(outcome, outcomes.NotRun)
+        assert heads == []
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_placement.py
@@ -0,0 +1,86 @@
+"""Tests of the choice of a server."""
+
+import collections
+
+from citronshelf_instance import evidence
+from instance_builders import make_directory
+from instance_builders import make_placer
+from instance_builders import make_registration
+from instance_builders import make_route
+
+
+def choices(placer, count=200, tried=(), **route):
+    made = make_route(**route)
+    return collections.Counter(
+        placer.choose(made, 'ledger', 'r1', 0, tried).server_id
+        for _ in range(count)
+    )
+
+
+class TestDistance:
+    """Nearer servers are preferred while they are well."""
+
+    def test_region_before_zone_before_elsewhere(self, clock):
+        directory = make_directory(
+            clock,
+            make_registration('near'),
+            make_registration('zone', zone='sealdah'),
+            make_registration('far', zone='matigara'),
+        )
+        seen = choices(make_placer(directory, clock))
+        assert seen['near'] > seen['zone'] > seen['far']
+
+    def test_equal_servers_share_the_work(self, clock):
+        entries = [make_registration(f's{n}') for n in range(4)]
+        placer = make_placer(make_directory(clock, *entries), clock)
+        assert min(choices(placer, 400).values()) > 60
+
+
+class TestEvidence:
+    """Servers that seem to fail get little work, slow ones less."""
+
+    def test_suspected_server_is_avoided(self, clock):
+        entries = [make_registration('good'), make_registration('bad')]
+        directory = make_directory(clock, *entries)
+        for _ in range(2):
+            directory.record(
+                evidence.Observation('bad', evidence.Sign.FAILED, 0.0)
+            )
+        seen = choices(make_placer(directory, clock), idempotent=False)
+        assert seen['bad'] == 0
+
+    def test_slow_server_is_avoided(self, clock):
+        entries = [make_registration('good'), make_registration('slow')]
+        directory = make_directory(clock, *entries)
+        for _ in range(10):
+            directory.record(
+                evidence.Observation('slow', evidence.Sign.GOOD, 6.0)
+            )
+        seen = choices(make_placer(directory, clock))
+        assert seen['slow'] < 10
+
+    def test_only_suspects_still_get_work(self, clock):
+        directory = make_directory(clock, make_registration('bad'))
+        for _ in range(5):
+            directory.record(
+                evidence.Observation('bad', evidence.Sign.FAILED, 0.0)
+            )
+        assert choices(make_placer(directory, clock), 10) == {'bad': 10}
+
+
+class TestExclusion:
+    """Tried, blocked and draining servers."""
+
+    def test_tried_server_is_not_chosen_again(self, clock):
+        directory = make_directory(clock, make_registration('s1'))
+        placer = make_placer(directory, clock)
+        chosen = placer.choose(make_route(), 'ledger', 'r1', 0, {'s1'})
+        assert chosen is None
+
+    def test_blocked_server_waits_until_it_is_the_last(self, clock):
+        entries = [make_registration('s1'), make_registration('s2')]
+        directory = make_directory(clock, *entries)
+        directory.servers['s1'].note_unreachable(clock.now)
+        placer = make_placer(directory, clock)
+        assert choices(placer, 20) == {'s2': 20}
+        assert choices(placer, 20, tried={'s2'}) == {'s1': 20}
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_registrations.py
@@ -0,0 +1,88 @@
+"""Tests of the registered servers."""
+
+from citronshelf_common import fleet
+from citronshelf_instance import configuration
+from citronshelf_instance import registrations
+from instance_builders import make_directory
+from instance_builders import make_registration
+
+
+def change(directory, revision, **entries):
+    directory.apply(configuration.Changes(revision, None, entries))
+
+
+def usable(directory):
+    return [one.server_id for one in directory.usable('ledger')]
+
+
+class TestEntries:
+    """Only ready registered servers get new work."""
+
+    def test_draining_server_gets_no_work(self, clock):
+        directory = make_directory(clock, make_registration())
+        change(directory, 2, s1=make_registration(draining=True))
+        assert usable(directory) == []
+
+    def test_removed_server_gets_no_work(self, clock):
+        directory = make_directory(clock, make_registration())
+        change(directory, 2, s1=None)
+        assert usable(directory) == []
+
+    def test_state_survives_an_unchanged_entry(self, clock):
+        directory = make_directory(clock, make_registration())
+        state = directory.servers['s1']
+        change(directory, 2, s1=make_registration(warmup_s=1.0))
+        assert directory.servers['s1'] is state
+
+    def test_new_life_under_the_same_identity_starts_anew(self, clock):
+        directory = make_directory(clock, make_registration(started_ms=1))
+        state = directory.servers['s1']
+        change(directory, 2, s1=make_registration(started_ms=2))
+        assert directory.servers['s1'] is not state
+
+    def test_new_address_starts_anew(self, clock):
+        directory = make_directory(clock, make_registration())
+        state = directory.servers['s1']
+        moved = make_registration(address=fleet.Address('127.0.0.2', 9))
+        change(directory, 2, s1=moved)
+        assert directory.servers['s1'] is not state
+
+
+class TestLapsedEntries:
+    """Entries that lapsed while the store was away may come back."""
+
+    def test_server_stays_in_use_until_its_entry_returns(self, clock):
+        directory = make_directory(clock, make_registration())
+        directory.note_store_returned()
+        clock.advance(0.5)
+        change(directory, 2, s1=None)
+        assert usable(directory) == ['s1']
+        change(directory, 3, s1=make_registration())
+        clock.advance(10)
+        directory.drop_lapsed()
+        assert usable(directory) == ['s1']
+
+    def test_server_is_gone_when_its_entry_stays_missing(self, clock):
+        directory = make_directory(clock, make_registration())
+        directory.note_store_returned()
+        change(directory, 2, s1=None)
+        clock.advance(registrations.LAPSED_RETURN_S)
+        directory.drop_lapsed()
+        assert usable(directory) == []
+
+    def test_draining_server_is_gone_at_once(self, clock):
+        directory = make_directory(clock, make_registration(draining=True))
+        directory.note_store_returned()
+        change(directory, 2, s1=None)
+        assert directory.servers == {}
+
+
+class TestBlocks:
+    """A server that cannot be reached is left out for a growing time."""
+
+    def test_block_doubles_up_to_its_limit(self, clock):
+        state = make_directory(clock, make_registration()).servers['s1']
+        held = [state.note_unreachable(clock.now) for _ in range(5)]
+        assert held == [0.25, 0.5, 1.0, 2.0, 2.0]
+        state.note_reached()
+        assert state.note_unreachable(clock.now) == 0.25
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_retry_budget.py
@@ -0,0 +1,64 @@
+"""Tests of the budget of repeats."""
+
+import bisect
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from citronshelf_instance import retry_budget
+from instance_builders import FakeClock
+
+WINDOW_S = 10.0
+EVENTS = st.lists(
+    st.tuples(
+        st.floats(0, 2), st.integers(0, 4), st.sampled_from(['fresh', 'take'])
+    ),
+    max_size=200,
+)
+
+
+def make_budget(clock, slack=4.0):
+    return retry_budget.RetryBudget(
+        ratio=0.2, slack=slack, window_s=WINDOW_S, clock=clock
+    )
+
+
+class TestBudget:
+    """Repeats stay within the ratio and the instance's part of the slack."""
+
+    def test_slack_is_shared(self):
+        budget = make_budget(FakeClock(), slack=4.0)
+        assert not budget.take(instances=5)
+        assert budget.take(instances=4)
+        assert not budget.take(instances=4)
+
+    def test_fresh_requests_earn_repeats(self):
+        budget = make_budget(FakeClock(), slack=0.0)
+        for _ in range(10):
+            budget.record_fresh()
+        assert [budget.take(1) for _ in range(3)] == [True, True, False]
+
+    def test_window_forgets(self):
+        clock = FakeClock()
+        budget = make_budget(clock, slack=1.0)
+        assert budget.take(1)
+        clock.advance(WINDOW_S + 0.1)
+        assert budget.take(1)
+
+    @given(EVENTS)
+    def test_sum_over_instances_keeps_the_fleets_budget(self, events):
+        clock = FakeClock()
+        slack = 4.0
+        budgets = [make_budget(clock, slack) for _ in range(5)]
+        fresh, repeats = [], []
+        for gap, instance, kind in events:
+            clock.advance(gap)
+            if kind == 'fresh':
+                budgets[instance].record_fresh()
+                fresh.append(clock.now)
+            elif budgets[instance].take(len(budgets)):
+                repeats.append(clock.now)
+                begin = clock.now - WINDOW_S
+                in_window = len(repeats) - bisect.bisect_left(repeats, begin)
+                requests = len(fresh) - bisect.bisect_left(fresh, begin)
+                assert in_window <= 0.2 * requests + slack
--- a/tests/test_event_catalogue.py
+++ b/tests/test_event_catalogue.py
@@ -20,6 +20,7 @@
     'control': 1600,
     'client': 1700,
     'standins': 1800,
+    'instance': 1900,
 }
 PACKAGES = [
     name
