--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -0,0 +1,240 @@
+"""Tests of the exchange between instances on links without delay."""
+
+import asyncio
+import random
+
+from citronshelf_common import fleet
+from citronshelf_instance import configuration
+from citronshelf_instance import evidence
+from citronshelf_instance import membership
+from citronshelf_instance import peer_messages
+from citronshelf_instance import peers
+from citronshelf_instance import published
+from citronshelf_instance import registrations
+from instance_builders import make_configuration
+from instance_builders import make_registration
+
+
+class FakeNetwork:
+    """Delivers messages at once, but for cut addresses."""
+
+    def __init__(self):
+        self.ends = {}
+        self.cut = set()
+        self.sent = 0
+
+
+class FakeLinks:
+    """Links of one instance."""
+
+    def __init__(self, network, address):
+        self.network = network
+        self.address = address
+        self.on_message = None
+        network.ends[address] = self
+
+    def connect(self, address):
+        pass
+
+    def disconnect(self, address):
+        pass
+
+    def send(self, address, data):
+        network = self.network
+        if network.cut & {address, self.address}:
+            return False
+        network.sent += 1
+        end = network.ends.get(address)
+        if end is not None:
+            asyncio.get_running_loop().call_soon(
+                end.on_message, self.address, data
+            )
+        return end is not None
+
+
+class Fleet:
+    """Instances on one network; the first are seeds."""
+
+    def __init__(self, clock, count=6, seeds=2):
+        self.clock = clock
+        self.network = FakeNetwork()
+        addresses = [
+            fleet.Address('127.0.0.1', 7000 + n) for n in range(count)
+        ]
+        self.instances = [
+            self.make(n, addresses[:seeds], addresses[n])
+            for n in range(count)
+        ]
+
+    def make(self, number, seeds, address):
+        region = 'kolkata' if number % 3 else 'siliguri'
+        own = peer_messages.Member(
+            f'i{number}', 'n', address, fleet.Place(region, 'z'), 0.0
+        )
+        rng = random.Random(number)
+        directory = registrations.Directory(clock=self.clock)
+        state = published.PublishedState(
+            directory=directory, clock=self.clock, rng=rng
+        )
+        entries = (make_registration('s1'), make_registration('s2'))
+        state.replace(
+            configuration.Snapshot(1, make_configuration(revision=1), entries),
+            source='test',
+        )
+        return peers.Peers(
+            own=own,
+            seeds=list(seeds),
+            links=FakeLinks(self.network, address),
+            state=state,
+            members=membership.Membership(
+                own=own, clock=self.clock, rng=rng
+            ),
+            clock=self.clock,
+            rng=rng,
+        )
+
+    async def step(self, seconds=0.5, rounds=1):
+        """Let every instance do what it does at each tick."""
+        for _ in range(rounds):
+            self.clock.advance(seconds)
+            for one in self.instances:
+                one.greet()
+                one.members.expire()
+                one.send_heartbeats()
+                await asyncio.sleep(0)
+            await asyncio.sleep(0.005)
+
+    def counts(self):
+        return [one.members.count() for one in self.instances]
+
+
+def failing(instance, server_id='s1'):
+    return instance.state.directory.servers[server_id].evidence.failing
+
+
+class TestMembership:
+    """Instances find each other through the seeds."""
+
+    def test_all_know_all(self, clock):
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            return group.counts()
+
+        assert asyncio.run(run()) == [6] * 6
+
+    def test_one_seed_suffices(self, clock):
+        async def run():
+            group = Fleet(clock)
+            group.network.cut.add(fleet.Address('127.0.0.1', 7000))
+            await group.step(rounds=6)
+            return group.counts()
+
+        assert asyncio.run(run())[1:] == [5] * 5
+
+    def test_silent_instance_is_dropped(self, clock):
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            group.network.cut.add(fleet.Address('127.0.0.1', 7004))
+            await group.step(seconds=2.0, rounds=14)
+            return group.counts()
+
+        counts = asyncio.run(run())
+        assert [c for n, c in enumerate(counts) if n != 4] == [5] * 5
+
+    def test_instance_that_leaves_is_dropped_at_once(self, clock):
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            group.instances[4].leave()
+            await asyncio.sleep(0.01)
+            return 'i4' in group.instances[5].members.known
+
+        assert not asyncio.run(run())
+
+    def test_all_find_each_other_again_after_all_restarted(self, clock):
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            again = Fleet(clock)
+            await again.step(rounds=3)
+            return again.counts()
+
+        assert asyncio.run(run()) == [6] * 6
+
+
+class TestEvidence:
+    """Signs reach the instances of the region."""
+
+    def test_failure_is_told_at_once(self, clock):
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            group.instances[1].observe(
+                evidence.Observation('s1', evidence.Sign.FAILED, 0.0)
+            )
+            await asyncio.sleep(2 * peers.EVIDENCE_DELAY_S)
+            return [failing(one) for one in group.instances]
+
+        beliefs = asyncio.run(run())
+        same_region = [beliefs[n] for n in (2, 4, 5)]
+        assert min(same_region) > 0.7
+        assert max(beliefs[0], beliefs[3]) < 0.2
+
+    def test_usual_answers_are_not_told(self, clock):
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            before = group.network.sent
+            group.instances[1].observe(
+                evidence.Observation('s1', evidence.Sign.GOOD, 1.0)
+            )
+            await asyncio.sleep(2 * peers.EVIDENCE_DELAY_S)
+            return group.network.sent - before
+
+        assert asyncio.run(run()) == 0
+
+    def test_unreadable_message_changes_nothing(self, clock):
+        async def run():
+            group = Fleet(clock, count=2)
+            group.instances[0].receive('route', b'\x00junk')
+            group.instances[0].receive('route', b'')
+            return group.instances[0].members.count()
+
+        assert asyncio.run(run()) == 1
+
+
+class TestState:
+    """An instance that cannot read the store asks another one."""
+
+    def test_newer_state_is_taken(self, clock):
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            newer = configuration.Snapshot(
+                9, make_configuration(revision=8), ()
+            )
+            for number in (2, 4, 5):
+                group.instances[number].state.replace(newer, source='test')
+            group.instances[1].fetch()
+            await asyncio.sleep(0.02)
+            return group.instances[1].state
+
+        state = asyncio.run(run())
+        assert (state.revision, state.configuration.revision) == (9, 8)
+        assert state.directory.servers == {}
+
+    def test_older_state_is_not(self, clock):
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            newer = configuration.Snapshot(
+                9, make_configuration(revision=8), ()
+            )
+            group.instances[1].state.replace(newer, source='test')
+            group.instances[1].fetch()
+            await asyncio.sleep(0.02)
+            return group.instances[1].state.revision
+
+        assert asyncio.run(run()) == 9
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_published.py
@@ -0,0 +1,75 @@
+"""Tests of what is in force."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from citronshelf_instance import configuration
+from citronshelf_instance import published
+from citronshelf_instance import registrations
+from instance_builders import FakeClock
+from instance_builders import make_configuration
+from instance_builders import make_registration
+
+
+def make_state(clock=None):
+    clock = clock or FakeClock()
+    return published.PublishedState(
+        directory=registrations.Directory(clock=clock),
+        clock=clock,
+        rng=random.Random(1),
+    )
+
+
+class TestOrder:
+    """An older publication never replaces a newer one."""
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(1, 20), st.integers(1, 20), st.booleans()
+            ),
+            max_size=30,
+        )
+    )
+    def test_revision_in_force_never_falls(self, arrivals):
+        state = make_state()
+        highest = 0
+        for revision, of_configuration, whole in arrivals:
+            one = make_configuration(
+                revision=min(of_configuration, revision)
+            )
+            before = state.configuration
+            if whole:
+                state.replace(
+                    configuration.Snapshot(revision, one, ()), source='test'
+                )
+            else:
+                state.apply(configuration.Changes(revision, one, {}))
+            if before is not None:
+                assert state.configuration.revision >= before.revision
+            highest = max(highest, revision)
+            assert state.revision == highest
+
+    def test_unreadable_configuration_keeps_the_last(self):
+        state = make_state()
+        good = configuration.Snapshot(1, make_configuration(revision=1), ())
+        state.replace(good, source='test')
+        state.replace(configuration.Snapshot(2, None, ()), source='test')
+        assert state.configuration.revision == 1
+        assert state.revision == 2
+
+
+class TestKnown:
+    """Requests are routed once routes and servers are known."""
+
+    def test_needs_a_configuration(self):
+        state = make_state()
+        entries = (make_registration(),)
+        state.replace(configuration.Snapshot(3, None, entries), source='test')
+        assert not state.is_known()
+        state.apply(
+            configuration.Changes(4, make_configuration(revision=4), {})
+        )
+        assert state.is_known()
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -0,0 +1,153 @@
+"""Tests of the reader of the store."""
+
+import asyncio
+import random
+
+from expression import Error
+from expression import Ok
+import pytest
+
+from citronshelf_instance import configuration
+from citronshelf_instance import published
+from citronshelf_instance import registrations
+from citronshelf_instance import store_reader
+from instance_builders import make_configuration
+from instance_builders import make_registration
+
+LOST = store_reader.StoreFault(store_reader.ReadFault.NO_ANSWER, 'silent')
+HISTORY = store_reader.StoreFault(store_reader.ReadFault.HISTORY_LOST, '')
+
+
+def snapshot(revision, *entries):
+    one = make_configuration(revision=1)
+    return Ok(configuration.Snapshot(revision, one, entries))
+
+
+class ScriptedStore:
+    """Gives results in order, then waits for ever."""
+
+    def __init__(self, reads=(), watches=()):
+        self.reads = list(reads)
+        self.watches = list(watches)
+        self.watched = []
+
+    async def read_all(self):
+        return await self.next_of(self.reads)
+
+    async def watch(self, after, wait_s):
+        self.watched.append(after)
+        return await self.next_of(self.watches)
+
+    async def next_of(self, results):
+        if not results:
+            await asyncio.Event().wait()
+        return results.pop(0)
+
+
+@pytest.fixture(autouse=True)
+def short_pauses(monkeypatch):
+    for name in ('PAUSE_AFTER_CHANGE_S', 'FIRST_RETRY_S', 'BEHIND_S'):
+        monkeypatch.setattr(store_reader, name, 0.01)
+
+
+def read_with(store, clock, act=None):
+    """Run a reader for a moment; return it and its calls to peers."""
+
+    async def run():
+        state = published.PublishedState(
+            directory=registrations.Directory(clock=clock),
+            clock=clock,
+            rng=random.Random(1),
+        )
+        asked = []
+        reader = store_reader.StoreReader(
+            store=store,
+            state=state,
+            ask_peers=lambda: asked.append(1),
+            clock=clock,
+            rng=random.Random(1),
+        )
+        task = asyncio.create_task(reader.run())
+        await asyncio.sleep(0.1)
+        if act is not None:
+            act(reader)
+            await asyncio.sleep(0.1)
+        task.cancel()
+        return reader, asked
+
+    return asyncio.run(run())
+
+
+class TestReading:
+    """A reading is followed by watches from its revision."""
+
+    def test_continues_from_the_revision_of_each_answer(self, clock):
+        change = configuration.Changes(5, None, {'s2': None})
+        store = ScriptedStore([snapshot(3)], [Ok(change)])
+        reader, asked = read_with(store, clock)
+        assert store.watched == [3, 5]
+        assert reader.state.revision == 5
+        assert asked == []
+
+    def test_lost_history_is_read_again(self, clock):
+        store = ScriptedStore(
+            [snapshot(3, make_registration('s1')), snapshot(9)],
+            [Error(HISTORY)],
+        )
+        reader, _ = read_with(store, clock)
+        assert store.watched == [3, 9]
+        assert reader.state.directory.servers == {}
+
+    def test_failed_reading_asks_peers_and_retries(self, clock):
+        store = ScriptedStore([Error(LOST), Error(LOST), snapshot(3)])
+        reader, asked = read_with(store, clock)
+        assert len(asked) == 2
+        assert reader.answers
+        assert reader.state.revision == 3
+
+
+class TestBehind:
+    """Other instances show that an answer was lost."""
+
+    def test_watch_is_repeated_when_a_peer_knows_more(self, clock):
+        store = ScriptedStore([snapshot(3)])
+        read_with(store, clock, lambda r: r.note_peer_revision(4))
+        assert store.watched == [3, 3]
+
+    def test_peer_that_knows_less_changes_nothing(self, clock):
+        store = ScriptedStore([snapshot(3)])
+        read_with(store, clock, lambda r: r.note_peer_revision(3))
+        assert store.watched == [3]
+
+    def test_peers_are_asked_while_the_store_is_away(self, clock):
+        store = ScriptedStore([snapshot(3)], [Error(LOST)])
+        store.watches += [Error(LOST)] * 100
+
+        def act(reader):
+            asked.clear()
+            reader.note_peer_revision(4)
+
+        asked = []
+        reader, calls = read_with(store, clock, act)
+        assert not reader.answers
+        assert calls
+
+
+class TestOutage:
+    """Registrations may lapse while the store is away."""
+
+    @pytest.mark.parametrize('away_s, kept', [(0.2, []), (5.0, ['s1'])])
+    def test_only_an_outage_keeps_missing_servers(self, clock, away_s, kept):
+        gone = configuration.Changes(4, None, {'s1': None})
+        store = ScriptedStore([snapshot(3, make_registration('s1'))])
+        reader, _ = read_with(store, clock)
+
+        async def run():
+            reader.retry_s = 0.0
+            await reader.fail(LOST)
+            clock.advance(away_s)
+            reader.note_answer()
+            reader.state.apply(gone)
+
+        asyncio.run(run())
+        assert list(reader.state.directory.servers) == kept
