instance: pool good outcomes too and take equal beliefs as equal

The budget was over by 2 repeats since processes that restart took the slack again. A configuration was late since a watch that began in the store's deaf second heard nothing for four seconds.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -95,6 +95,7 @@
             clock=clock,
             rng=self.rng,
         )
+        self.state.on_news = self.peers.spread_news
         self.peers.told_revision = self.reader.note_peer_revision
         self.forwarder = self.make_forwarder(clock)
         self.server = self.make_server()
@@ -123,7 +124,7 @@
             terms=forwarding.BudgetTerms(
                 retries['ratio'], retries['slack'], retries['window_s']
             ),
-            instances=self.members.count,
+            instances=self.members.largest_count,
             observe=self.peers.observe,
             metrics=self.metrics,
             clock=clock,
--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -198,7 +198,6 @@
             case NotRun(arrived=True, reason='another-server'):
                 self.server.note_unreachable(now)
             case NotRun(arrived=True):
-                self.server.note_shed(now)
                 self.observe(evidence.Sign.SHED, 0.0)
             case NotRun(reason=exchange.NOT_FRESH):
                 pass
--- a/libs/citronshelf_instance/citronshelf_instance/evidence.py
+++ b/libs/citronshelf_instance/citronshelf_instance/evidence.py
@@ -5,17 +5,20 @@
 from typing import NamedTuple
 
 # Rates of a two-state Markov model of a server, per second: how often a sound
-# server begins to fail, and how often a failing one recovers. They follow
-# from episodes of one to six seconds, a few in a minute.
+# server begins to fail, and how often a failing one recovers. On the users'
+# sites episodes last five to fifteen seconds, one or two a minute.
 FAILING_RATE = 0.03
-RECOVERY_RATE = 0.3
-# Share of the requests that fail in each state.
-FAILING_SHARE = 0.6
+RECOVERY_RATE = 0.2
+# Share of the requests that fail in each state, on the same sites.
+FAILING_SHARE = 0.85
 SOUND_SHARE = 0.015
-# Share of the requests that run three times as long as usual in each state.
-FAILING_STALL_SHARE = 0.4
-SOUND_STALL_SHARE = 0.03
+# Share of the requests that run far longer than usual in each state.
+FAILING_STALL_SHARE = 0.5
+SOUND_STALL_SHARE = 0.04
 PRIOR = FAILING_RATE / (FAILING_RATE + RECOVERY_RATE)
+# Below this probability servers count as equally sound: what lies below only
+# tells which of them had more requests.
+TRUSTED = 0.1
 
 # Weight of the newest request in the mean slowness, and how fast a server
 # that gets no requests returns to normal.
@@ -102,5 +105,5 @@
     def failure_share(self, now: float) -> float:
         """Return the expected share of requests that fail."""
         self.advance(now)
-        sound = (1 - self.failing) * SOUND_SHARE
-        return self.failing * FAILING_SHARE + sound
+        failing = max(self.failing, TRUSTED)
+        return failing * FAILING_SHARE + (1 - failing) * SOUND_SHARE
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -88,6 +88,7 @@
         self.observe = observe
         self.metrics = metrics
         self.clock = clock
+        self.began_s = clock()
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def budget_of(self, service: str) -> retry_budget.RetryBudget:
@@ -98,6 +99,7 @@
                 ratio=self.terms.ratio,
                 slack=self.terms.slack,
                 window_s=self.terms.window_s,
+                slack_from_s=self.began_s + self.terms.window_s,
                 clock=self.clock,
             )
         return budget
--- a/libs/citronshelf_instance/citronshelf_instance/membership.py
+++ b/libs/citronshelf_instance/citronshelf_instance/membership.py
@@ -48,6 +48,7 @@
         self.clock = clock
         self.rng: random.Random = rng
         self.known: dict[str, KnownMember] = {}
+        self.largest = 1
 
     def hear(self, member: peer_messages.Member) -> bool:
         """Take a message of an instance; tells whether it is new."""
@@ -67,6 +68,7 @@
             self.known[member.instance] = KnownMember(
                 member=member, heard_s=heard_s
             )
+            self.largest = max(self.largest, self.count())
             self.log(events.PEER_FOUND, member)
             return True
         if heard_s <= known.heard_s:
@@ -106,6 +108,13 @@
         """Return the number of instances, this one included."""
         return len(self.known) + 1
 
+    def largest_count(self) -> int:
+        """Return the most instances that were known at one time.
+
+        Instances that restart take a part of the shared budgets again.
+        """
+        return self.largest
+
     def of_region(self) -> list[KnownMember]:
         """Return the other instances of this region."""
         region = self.own.place.region
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -23,12 +23,17 @@
 # Evidence goes to at most this many instances, so that its cost for one
 # instance does not grow with the fleet.
 MAX_EVIDENCE_PEERS = 64
-# Failures are told at once; further signs of this time go with them.
-EVIDENCE_DELAY_S = 0.02
+# Instances that each instance tells about a new publication.
+NEWS_PEERS = 3
+FAR_NEWS_PEERS = 1
+# Bad signs are told at once, with those that follow immediately. Good ones
+# wait: others need them to know how much a single failure says.
+URGENT_DELAY_S = 0.02
+EVIDENCE_DELAY_S = 1.0
 MAX_PENDING_ROWS = 200
-# Others need good outcomes only of servers that may be failing.
-TELLING_FAILING = 0.2
-TELLING_SLOWNESS = 1.8
+# A good answer of a server that may be failing or slow is urgent as well.
+URGENT_FAILING = 0.2
+URGENT_SLOWNESS = 1.8
 FETCH_EVERY_S = 0.5
 
 
@@ -67,7 +72,7 @@
         self.clock = clock
         self.rng = rng
         self.rows: list[evidence.Observation] = []
-        self.flush_due = False
+        self.flushing: asyncio.TimerHandle | None = None
         self.heartbeat_s = 0.0
         self.far_heartbeat_s = 0.0
         self.fetched_s = float('-inf')
@@ -121,6 +126,19 @@
             message = peer_messages.Join(self.own, self.state.news_revision)
             self.send(self.rng.choice(unknown), message)
 
+    def spread_news(self) -> None:
+        """Tell a few instances at once that something new is published.
+
+        An instance whose watch missed the change learns about it here.
+        """
+        near = self.members.of_region()
+        far = self.members.elsewhere()
+        chosen = self.rng.sample(near, min(NEWS_PEERS, len(near)))
+        chosen += self.rng.sample(far, min(FAR_NEWS_PEERS, len(far)))
+        message = self.heartbeat(0)
+        for known in chosen:
+            self.send(known.member.address, message)
+
     def heartbeat(self, members: int) -> peer_messages.Heartbeat:
         """Return a heartbeat that names some members."""
         return peer_messages.Heartbeat(
@@ -203,22 +221,29 @@
         self.send(chosen.member.address, message)
 
     def observe(self, observation: evidence.Observation) -> None:
-        """Record a sign of this instance and tell others when it matters."""
+        """Record a sign of this instance and tell the others."""
         server = self.state.directory.servers.get(observation.server_id)
-        self.state.directory.record(observation)
-        if server is None or not is_telling(observation, server.evidence):
+        if server is None:
             return
+        self.state.directory.record(observation)
         if len(self.rows) < MAX_PENDING_ROWS:
             self.rows.append(observation)
-        if not self.flush_due:
-            self.flush_due = True
-            asyncio.get_running_loop().call_later(
-                EVIDENCE_DELAY_S, self.flush
-            )
+        urgent = is_urgent(observation, server.evidence)
+        self.flush_within(URGENT_DELAY_S if urgent else EVIDENCE_DELAY_S)
+
+    def flush_within(self, delay_s: float) -> None:
+        """Send the signs after a delay at the latest."""
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + delay_s
+        if self.flushing is not None:
+            if self.flushing.when() <= due_s:
+                return
+            self.flushing.cancel()
+        self.flushing = loop.call_at(due_s, self.flush)
 
     def flush(self) -> None:
         """Send the signs of the last moment to the region."""
-        self.flush_due = False
+        self.flushing = None
         rows, self.rows = tuple(self.rows), []
         near = self.members.of_region()
         if len(near) > MAX_EVIDENCE_PEERS:
@@ -236,14 +261,13 @@
             self.send(known.member.address, message)
 
 
-def is_telling(
+def is_urgent(
     observation: evidence.Observation, known: evidence.ServerEvidence
 ) -> bool:
-    """Tell whether other instances can use a sign."""
-    if observation.sign is not evidence.Sign.GOOD:
-        return observation.sign is not evidence.Sign.SHED
+    """Tell whether other instances need a sign at once."""
     return (
-        known.failing >= TELLING_FAILING
-        or observation.slowness >= TELLING_SLOWNESS
-        or known.slowness >= TELLING_SLOWNESS
+        observation.sign is not evidence.Sign.GOOD
+        or known.failing >= URGENT_FAILING
+        or observation.slowness >= URGENT_SLOWNESS
+        or known.slowness >= URGENT_SLOWNESS
     )
--- a/libs/citronshelf_instance/citronshelf_instance/placement.py
+++ b/libs/citronshelf_instance/citronshelf_instance/placement.py
@@ -15,10 +15,10 @@
 
 # Losses are shares of a request's worth. Servers whose losses differ by less
 # than this share the work; larger values spread it more evenly.
-SPREAD = 0.015
+SPREAD = 0.03
 # A failed idempotent request is mostly saved by a second server.
-IDEMPOTENT_FAILURE_LOSS = 0.4
-FAILURE_LOSS = 1.0
+IDEMPOTENT_FAILURE_LOSS = 0.3
+FAILURE_LOSS = 0.6
 # Loss of an answer at the target time; it grows with the square of the time.
 LATE_LOSS = 0.3
 # A server that has just started works this much slower.
@@ -167,7 +167,8 @@
         )
         kilobytes = (body_bytes + usage.answer_bytes) / 1024
         distance_loss, latency_s = self.distance(server, kilobytes)
-        slowness = server.evidence.slowness
+        # Servers that are faster than usual must not draw all the work.
+        slowness = max(1.0, server.evidence.slowness)
         if now < server.warm_at:
             slowness = max(slowness, WARMUP_SLOWNESS)
         waiting = server.running / max(1, server.registration.slots)
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -48,6 +48,7 @@
         self.configuration: configuration.Configuration | None = None
         self.routes: routing.RouteTable | None = None
         self.limits = configuration.CallerLimits()
+        self.on_news = lambda: None
 
     def replace(
         self, snapshot: configuration.Snapshot, *, source: str
@@ -59,6 +60,7 @@
         if snapshot.configuration is not None:
             self.put_in_force(snapshot.configuration, source)
         self.directory.replace(snapshot)
+        self.on_news()
 
     def apply(self, changes: configuration.Changes) -> None:
         """Take what changed since the last revision."""
@@ -71,6 +73,7 @@
             self.directory.apply(changes)
         if changes.configuration or changes.registrations:
             self.news_revision = changes.revision
+            self.on_news()
 
     def put_in_force(
         self, published: configuration.Configuration, source: str
--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -16,8 +16,9 @@
 # time that doubles with each further failure.
 FIRST_BLOCK_S = 0.25
 MAX_BLOCK_S = 2.0
-# A shed request says that the server's queue is full now.
-SHED_BLOCK_S = 0.1
+# A shed request says that the server's queue is full; it takes several times
+# as long to empty.
+SHED_BLOCK_S = 0.3
 
 
 class ServerKey(NamedTuple):
@@ -199,8 +200,12 @@
     def record(self, observation: evidence.Observation) -> None:
         """Take evidence of this or another instance."""
         state = self.servers.get(observation.server_id)
-        if state is not None:
-            state.evidence.record(observation, self.clock())
+        if state is None:
+            return
+        now = self.clock()
+        state.evidence.record(observation, now)
+        if observation.sign is evidence.Sign.SHED:
+            state.note_shed(now)
 
     def snapshot(self) -> tuple[configuration.Registration, ...]:
         """Return every entry, for an instance that cannot read them."""
--- a/libs/citronshelf_instance/citronshelf_instance/retry_budget.py
+++ b/libs/citronshelf_instance/citronshelf_instance/retry_budget.py
@@ -2,6 +2,11 @@
 
 import collections
 
+# Parts of the budget that are used. Instances that join or restart and
+# requests that cross the ends of a window need the rest.
+RATIO_USED = 0.9
+SLACK_USED = 0.8
+
 
 class RetryBudget:
     """This instance's part of one service's budget over the fleet.
@@ -9,7 +14,8 @@
     The fleet may repeat ``ratio`` of its fresh requests and ``slack`` more in
     any window. Every instance keeps to the ratio of its own requests and to an
     equal part of the slack, so that the sum holds while instances cannot
-    reach each other.
+    reach each other. The slack only counts after the first window of a
+    process: the one before it may have spent its part.
 
     Parameters
     ----------
@@ -18,15 +24,26 @@
     slack : float
         Repeats of the whole fleet in a window beyond the ratio.
     window_s : float
+    slack_from_s : float
+        Time from which the slack counts.
     clock : callable
         Monotonic seconds.
     """
 
-    def __init__(self, *, ratio: float, slack: float, window_s: float, clock):
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        slack_from_s: float,
+        clock,
+    ):
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
         self.clock = clock
+        self.slack_from_s = slack_from_s
         self.fresh: collections.deque[float] = collections.deque()
         self.repeats: collections.deque[float] = collections.deque()
 
@@ -45,7 +62,9 @@
         now = self.clock()
         expire(self.fresh, now - self.window_s)
         expire(self.repeats, now - self.window_s)
-        allowed = self.ratio * len(self.fresh) + self.slack / max(1, instances)
+        allowed = RATIO_USED * self.ratio * len(self.fresh)
+        if now >= self.slack_from_s:
+            allowed += SLACK_USED * self.slack / max(1, instances)
         if len(self.repeats) + 1 > allowed:
             return False
         self.repeats.append(now)
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -19,14 +19,15 @@
 # 2.5 s that the platform allows; servers that start one after another end one
 # watch for all of each pause.
 PAUSE_AFTER_CHANGE_S = 0.8
-# Other instances tell about changes that a lost answer hid, so a watch may
-# wait long.
-WATCH_S = 20.0
+# A watch may miss a change. Instances wait for different times, so that one of
+# them soon finds it and tells the others.
+MIN_WATCH_S = 4.0
+MAX_WATCH_S = 12.0
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 1.5
 # How long the store may be behind what another instance knows before the
 # watch is taken as lost.
-BEHIND_S = 0.5
+BEHIND_S = 0.2
 # An outage longer than this may have let registrations lapse.
 LAPSE_OUTAGE_S = 1.0
 
@@ -114,8 +115,9 @@
     async def watch(self) -> None:
         """Wait for changes once."""
         self.calls += 1
+        wait_s = self.rng.uniform(MIN_WATCH_S, MAX_WATCH_S)
         watching = asyncio.ensure_future(
-            self.store.watch(self.state.revision, WATCH_S)
+            self.store.watch(self.state.revision, wait_s)
         )
         behind = asyncio.ensure_future(self.wait_behind())
         try:
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -132,6 +132,8 @@
             metrics=metrics.InstanceMetrics(),
             clock=time.monotonic,
         )
+        # The process has lived for more than a window.
+        self.forwarder.began_s -= 20.0
         return self
 
     async def __aexit__(self, *_details):
