--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -193,6 +193,7 @@
                 task.cancel()
         ready.stop()
         pages.stop()
+        self.peers.close()
         self.links.close()
         self.client.close()
         return 0
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -254,6 +254,12 @@
         for known in near:
             self.send(known.member.address, message)
 
+    def close(self) -> None:
+        """Send nothing more."""
+        if self.flushing is not None:
+            self.flushing.cancel()
+            self.flushing = None
+
     def leave(self) -> None:
         """Tell the region that this instance ends."""
         message = peer_messages.Leave(self.own)
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -217,6 +217,20 @@
         left_s = asyncio.run(run())
         assert left_s == pytest.approx(registrations.SHED_BLOCK_S)
 
+    def test_nothing_is_sent_after_the_end(self, clock):
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            group.instances[1].observe(
+                evidence.Observation('s1', evidence.Sign.FAILED, 0.0)
+            )
+            before = group.network.sent
+            group.instances[1].close()
+            await asyncio.sleep(2 * peers.URGENT_DELAY_S)
+            return group.network.sent - before
+
+        assert asyncio.run(run()) == 0
+
     def test_unreadable_message_changes_nothing(self, clock):
         async def run():
             group = Fleet(clock, count=2)
