--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+import signal
 import time
 
 from citronshelf_common import events as log_events
@@ -35,6 +36,9 @@
 # and a connection to a server for every second caller.
 RESERVED_DESCRIPTORS = 600
 MIN_CONNECTIONS = 64
+SETTINGS_EVERY_S = 5.0
+# Tables whose changes take a restart.
+FIXED_TABLES = ('instance', 'listen', 'store', 'log')
 
 parse_address = common_settings.parse_address
 
@@ -51,6 +55,8 @@
         ``Store``.
     names : HeaderNames
     log_output : BoundedLogStream
+    read_settings : callable
+        Reads and checks the settings file again; returns a ``Result``.
     """
 
     def __init__(
@@ -60,10 +66,13 @@
         make_store,
         names: caller_request.HeaderNames,
         log_output: log_stream.BoundedLogStream,
+        read_settings,
     ):
         self.table = table
+        self.read_settings = read_settings
         self.names = names
         self.stopping = False
+        self.settings_fault = None
         self.rng = random.Random()
         clock = time.monotonic
         self.metrics = metrics.InstanceMetrics()
@@ -103,17 +112,11 @@
 
     def make_forwarder(self, clock) -> forwarding.Forwarder:
         """Return the data path behind the routes."""
-        costs = self.table['placement']
-        retries = self.table['retries']
         placer = placement.Placer(
             directory=self.directory,
             place=self.own.place,
             regions=self.table['regions'],
-            distances=placement.Distances(
-                costs['zone_loss_per_kb'],
-                costs['region_loss_per_kb'],
-                costs['region_latency_s'],
-            ),
+            distances=distances_of(self.table),
             clock=clock,
             rng=self.rng,
         )
@@ -121,9 +124,7 @@
             placer=placer,
             client=self.client,
             names=self.names,
-            terms=forwarding.BudgetTerms(
-                retries['ratio'], retries['slack'], retries['window_s']
-            ),
+            terms=budget_terms(self.table),
             instances=self.members.largest_count,
             observe=self.peers.observe,
             metrics=self.metrics,
@@ -150,9 +151,11 @@
         add(
             'configuration_revision',
             'Revision in force',
-            lambda: self.state.configuration.revision
-            if self.state.configuration
-            else 0,
+            lambda: (
+                self.state.configuration.revision
+                if self.state.configuration
+                else 0
+            ),
         )
         add(
             'servers',
@@ -184,7 +187,10 @@
                 group.create_task(self.links.run()),
                 group.create_task(self.peers.run()),
                 group.create_task(self.reader.run()),
+                group.create_task(self.watch_settings()),
             ]
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGHUP, self.reload)
             await stopping.wait()
             self.stopping = True
             self.peers.leave()
@@ -198,6 +204,37 @@
         self.client.close()
         return 0
 
+    async def watch_settings(self) -> None:
+        """Take settings that change without a signal."""
+        while True:
+            await asyncio.sleep(SETTINGS_EVERY_S)
+            self.reload()
+
+    def reload(self) -> None:
+        """Take the settings that may change while the process runs."""
+        read = self.read_settings()
+        if read.is_error():
+            if read.error != self.settings_fault:
+                log_events.log_event(
+                    LOG, events.SETTINGS_REFUSED, reason=read.error.render()
+                )
+            self.settings_fault = read.error
+            return
+        self.settings_fault = None
+        if read.ok == self.table:
+            return
+        kept = [key for key in FIXED_TABLES if read.ok[key] != self.table[key]]
+        self.table = read.ok
+        self.apply_settings()
+        log_events.log_event(LOG, events.SETTINGS_RELOADED, needs_restart=kept)
+
+    def apply_settings(self) -> None:
+        """Use the seeds, budgets and costs of the settings."""
+        seeds = self.table['peers']['seeds']
+        self.peers.set_seeds([parse_address(text) for text in seeds])
+        self.forwarder.set_terms(budget_terms(self.table))
+        self.forwarder.placer.distances = distances_of(self.table)
+
     def unready_reason(self) -> str:
         """Return why callers should go elsewhere, empty when ready."""
         if self.stopping:
@@ -277,6 +314,24 @@
         )
 
 
+def distances_of(table: settings.Settings) -> placement.Distances:
+    """Return the costs of distance."""
+    costs = table['placement']
+    return placement.Distances(
+        costs['zone_loss_per_kb'],
+        costs['region_loss_per_kb'],
+        costs['region_latency_s'],
+    )
+
+
+def budget_terms(table: settings.Settings) -> forwarding.BudgetTerms:
+    """Return the terms of the retry budgets."""
+    retries = table['retries']
+    return forwarding.BudgetTerms(
+        retries['ratio'], retries['slack'], retries['window_s']
+    )
+
+
 def own_member(table: settings.Settings) -> peer_messages.Member:
     """Return how this instance introduces itself."""
     instance = table['instance']
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -11,7 +11,6 @@
 from citronshelf_instance import caller_request
 from citronshelf_instance import dispatch
 from citronshelf_instance import events
-from citronshelf_instance import evidence
 from citronshelf_instance import placement
 from citronshelf_instance import registrations
 from citronshelf_instance import retry_budget
@@ -24,7 +23,7 @@
 MAX_UNREACHED = 4
 # An answer that takes longer than this many times the usual is a sign against
 # its server, and an idempotent request is sent to a second one.
-STALL_FACTOR = 2.5
+STALL_FACTOR = 3.0
 MIN_STALL_S = 0.05
 # A request that ends within this time is not sent to another server.
 MIN_REMAINING_S = 0.02
@@ -91,6 +90,14 @@
         self.began_s = clock()
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
+    def set_terms(self, terms: BudgetTerms) -> None:
+        """Use other terms from now on; what was spent stays spent."""
+        self.terms = terms
+        for budget in self.budgets.values():
+            budget.ratio = terms.ratio
+            budget.slack = terms.slack
+            budget.window_s = terms.window_s
+
     def budget_of(self, service: str) -> retry_budget.RetryBudget:
         """Return the budget of a service."""
         budget = self.budgets.get(service)
@@ -261,7 +268,9 @@
         placer = self.forwarder.placer
         usual_s = placer.usage_of(self.route).seconds
         _, latency_s = placer.distance(server, 0.0)
-        return max(MIN_STALL_S, STALL_FACTOR * usual_s + latency_s)
+        # Behind a queue a late answer is no sign against the server.
+        queued = max(1.0, server.evidence.slowness)
+        return max(MIN_STALL_S, STALL_FACTOR * usual_s * queued + latency_s)
 
     def look_for_stall(self) -> None:
         """Act on a server whose answer is overdue."""
--- a/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
@@ -39,9 +39,7 @@
     age_s: AgeS
 
 
-Members = Annotated[
-    tuple[Member, ...], msgspec.Meta(max_length=MAX_MEMBERS)
-]
+Members = Annotated[tuple[Member, ...], msgspec.Meta(max_length=MAX_MEMBERS)]
 
 
 class Join(NamedTuple):
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -65,7 +65,7 @@
         rng: random.Random,
     ):
         self.own = own
-        self.seeds = [seed for seed in seeds if seed != own.address]
+        self.set_seeds(seeds)
         self.links = links
         self.state = state
         self.members = members
@@ -79,6 +79,10 @@
         self.told_revision = lambda revision: None
         links.on_message = self.receive
 
+    def set_seeds(self, seeds: list[fleet.Address]) -> None:
+        """Take the addresses of instances that may be known."""
+        self.seeds = [seed for seed in seeds if seed != self.own.address]
+
     async def run(self) -> None:
         """Keep the membership alive until cancelled."""
         while True:
@@ -183,7 +187,7 @@
                 self.told_revision(message.revision)
             case peer_messages.Evidence():
                 for row in message.rows:
-                    self.state.directory.record(row)
+                    self.state.directory.record(row, message.sender.instance)
                 self.told_revision(message.revision)
             case peer_messages.FetchState():
                 self.answer_fetch(message)
@@ -225,7 +229,7 @@
         server = self.state.directory.servers.get(observation.server_id)
         if server is None:
             return
-        self.state.directory.record(observation)
+        self.state.directory.record(observation, self.own.instance)
         if len(self.rows) < MAX_PENDING_ROWS:
             self.rows.append(observation)
         urgent = is_urgent(observation, server.evidence)
--- a/libs/citronshelf_instance/citronshelf_instance/placement.py
+++ b/libs/citronshelf_instance/citronshelf_instance/placement.py
@@ -25,7 +25,10 @@
 WARMUP_SLOWNESS = 2.0
 # What a route takes before its first answer: its share of the target.
 UNKNOWN_TIME_SHARE = 0.3
-TIME_WEIGHT = 0.05
+# The usual time follows short times faster than long ones, so that it stays
+# near what a server without a queue takes.
+SHORT_TIME_WEIGHT = 0.1
+LONG_TIME_WEIGHT = 0.02
 UNKNOWN_BYTES = 4096.0
 BYTES_WEIGHT = 0.1
 
@@ -53,7 +56,7 @@
     Attributes
     ----------
     seconds : float
-        Mean time at a server.
+        Time at a sound server without a queue.
     answer_bytes : float
     """
 
@@ -64,11 +67,12 @@
     def record(self, seconds: float, answer_bytes: int) -> None:
         """Take one good answer.
 
-        A straggler counts as at most three times the mean, so that a few do
+        A straggler counts as at most three times the usual, so that a few do
         not hide how long most requests take.
         """
-        seen = min(seconds, 3 * self.seconds)
-        self.seconds += TIME_WEIGHT * (seen - self.seconds)
+        change = min(seconds, 3 * self.seconds) - self.seconds
+        weight = LONG_TIME_WEIGHT if change > 0 else SHORT_TIME_WEIGHT
+        self.seconds += weight * change
         self.answer_bytes += BYTES_WEIGHT * (answer_bytes - self.answer_bytes)
 
 
@@ -162,9 +166,7 @@
         """Return the expected loss of a dispatch to a server."""
         usage = self.usage_of(route)
         failure_share = server.evidence.failure_share(now)
-        weight = (
-            IDEMPOTENT_FAILURE_LOSS if route.idempotent else FAILURE_LOSS
-        )
+        weight = IDEMPOTENT_FAILURE_LOSS if route.idempotent else FAILURE_LOSS
         kilobytes = (body_bytes + usage.answer_bytes) / 1024
         distance_loss, latency_s = self.distance(server, kilobytes)
         # Servers that are faster than usual must not draw all the work.
--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -19,6 +19,8 @@
 # A shed request says that the server's queue is full; it takes several times
 # as long to empty.
 SHED_BLOCK_S = 0.3
+# Belief in a failing server from which the log calls it suspected.
+SUSPECTED = 0.5
 
 
 class ServerKey(NamedTuple):
@@ -44,6 +46,8 @@
         This instance leaves it out before that.
     lapsed_until : float or None
         Its entry is missing; it is forgotten then.
+    suspected : bool
+        The log says that it is believed to fail.
     """
 
     def __init__(self, *, registration, now: float):
@@ -54,6 +58,7 @@
         self.blocked_until = 0.0
         self.block_s = FIRST_BLOCK_S
         self.lapsed_until: float | None = None
+        self.suspected = False
 
     @property
     def server_id(self) -> str:
@@ -197,8 +202,15 @@
             if not state.registration.draining
         ]
 
-    def record(self, observation: evidence.Observation) -> None:
-        """Take evidence of this or another instance."""
+    def record(self, observation: evidence.Observation, source: str) -> None:
+        """Take evidence of this or another instance.
+
+        Parameters
+        ----------
+        observation : Observation
+        source : str
+            Name of the instance that saw the sign.
+        """
         state = self.servers.get(observation.server_id)
         if state is None:
             return
@@ -206,6 +218,25 @@
         state.evidence.record(observation, now)
         if observation.sign is evidence.Sign.SHED:
             state.note_shed(now)
+        suspected = state.evidence.failing >= SUSPECTED
+        if suspected != state.suspected:
+            state.suspected = suspected
+            self.log_belief(state, observation, source)
+
+    def log_belief(self, state, observation, source: str) -> None:
+        """Log that a server became suspected or trusted."""
+        event = events.SERVER_TRUSTED
+        if state.suspected:
+            event = events.SERVER_SUSPECTED
+        log_events.log_event(
+            LOG,
+            event,
+            server=state.server_id,
+            failing=round(state.evidence.failing, 3),
+            slowness=round(state.evidence.slowness, 2),
+            sign=observation.sign.name.lower(),
+            source=source,
+        )
 
     def snapshot(self) -> tuple[configuration.Registration, ...]:
         """Return every entry, for an instance that cannot read them."""
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -18,7 +18,7 @@
 # A change is in force after one pause and one round trip, within half of the
 # 2.5 s that the platform allows; servers that start one after another end one
 # watch for all of each pause.
-PAUSE_AFTER_CHANGE_S = 0.8
+PAUSE_AFTER_CHANGE_S = 1.2
 # A watch may miss a change. Instances wait for different times, so that one of
 # them soon finds it and tells the others.
 MIN_WATCH_S = 4.0
--- a/libs/citronshelf_instance/tests/instance_builders.py
+++ b/libs/citronshelf_instance/tests/instance_builders.py
@@ -85,4 +85,3 @@
         clock=clock,
         rng=random.Random(seed),
     )
-
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -115,9 +115,7 @@
     async def __aenter__(self):
         await self.servers.__aenter__()
         entries = self.servers.registrations()
-        self.directory = make_directory(
-            time.monotonic, *self.extra, *entries
-        )
+        self.directory = make_directory(time.monotonic, *self.extra, *entries)
         for entry in entries[1:]:
             state = self.directory.servers[entry.server_id]
             state.evidence.slowness = 1.0 + int(entry.server_id[1:])
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -64,8 +64,7 @@
             fleet.Address('127.0.0.1', 7000 + n) for n in range(count)
         ]
         self.instances = [
-            self.make(n, addresses[:seeds], addresses[n])
-            for n in range(count)
+            self.make(n, addresses[:seeds], addresses[n]) for n in range(count)
         ]
 
     def make(self, number, seeds, address):
@@ -88,9 +87,7 @@
             seeds=list(seeds),
             links=FakeLinks(self.network, address),
             state=state,
-            members=membership.Membership(
-                own=own, clock=self.clock, rng=rng
-            ),
+            members=membership.Membership(own=own, clock=self.clock, rng=rng),
             clock=self.clock,
             rng=rng,
         )
--- a/libs/citronshelf_instance/tests/test_placement.py
+++ b/libs/citronshelf_instance/tests/test_placement.py
@@ -44,7 +44,7 @@
         directory = make_directory(clock, *entries)
         for _ in range(2):
             directory.record(
-                evidence.Observation('bad', evidence.Sign.FAILED, 0.0)
+                evidence.Observation('bad', evidence.Sign.FAILED, 0.0), 'i1'
             )
         seen = choices(make_placer(directory, clock), idempotent=False)
         assert seen['bad'] == 0
@@ -54,7 +54,7 @@
         directory = make_directory(clock, *entries)
         for _ in range(10):
             directory.record(
-                evidence.Observation('slow', evidence.Sign.GOOD, 6.0)
+                evidence.Observation('slow', evidence.Sign.GOOD, 6.0), 'i1'
             )
         seen = choices(make_placer(directory, clock))
         assert seen['slow'] < 10
@@ -63,7 +63,7 @@
         directory = make_directory(clock, make_registration('bad'))
         for _ in range(5):
             directory.record(
-                evidence.Observation('bad', evidence.Sign.FAILED, 0.0)
+                evidence.Observation('bad', evidence.Sign.FAILED, 0.0), 'i1'
             )
         assert choices(make_placer(directory, clock), 10) == {'bad': 10}
 
--- a/libs/citronshelf_instance/tests/test_published.py
+++ b/libs/citronshelf_instance/tests/test_published.py
@@ -27,9 +27,7 @@
 
     @given(
         st.lists(
-            st.tuples(
-                st.integers(1, 20), st.integers(1, 20), st.booleans()
-            ),
+            st.tuples(st.integers(1, 20), st.integers(1, 20), st.booleans()),
             max_size=30,
         )
     )
@@ -37,9 +35,7 @@
         state = make_state()
         highest = 0
         for revision, of_configuration, whole in arrivals:
-            one = make_configuration(
-                revision=min(of_configuration, revision)
-            )
+            one = make_configuration(revision=min(of_configuration, revision))
             before = state.configuration
             if whole:
                 state.replace(
--- a/libs/citronshelf_instance/tests/test_registrations.py
+++ b/libs/citronshelf_instance/tests/test_registrations.py
@@ -1,7 +1,10 @@
 """Tests of the registered servers."""
 
+import logging
+
 from citronshelf_common import fleet
 from citronshelf_instance import configuration
+from citronshelf_instance import evidence
 from citronshelf_instance import registrations
 from instance_builders import make_directory
 from instance_builders import make_registration
@@ -86,3 +89,16 @@
         assert held == [0.25, 0.5, 1.0, 2.0, 2.0]
         state.note_reached()
         assert state.note_unreachable(clock.now) == 0.25
+
+
+class TestBelief:
+    """The log tells when a server becomes suspected and trusted again."""
+
+    def test_each_change_is_logged_once(self, clock, caplog):
+        directory = make_directory(clock, make_registration())
+        signs = [evidence.Sign.FAILED] * 3 + [evidence.Sign.GOOD] * 8
+        with caplog.at_level(logging.INFO):
+            for sign in signs:
+                directory.record(evidence.Observation('s1', sign, 0.0), 'i7')
+        named = [(r.event_name, r.source) for r in caplog.records]
+        assert named == [('server-suspected', 'i7'), ('server-trusted', 'i7')]
