--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -223,7 +223,7 @@
     """Return tornado's form of a request."""
     request = httpclient.HTTPRequest(
         f'http://{sending.address.authority()}{sending.target}',
-        method=sending.method,
+        method='POST' if is_get_with_body(sending) else sending.method,
         body=body_of(sending),
         connect_timeout=min(sending.connect_timeout_s, sending.timeout_s),
         request_timeout=sending.timeout_s,
@@ -236,6 +236,11 @@
     return with_defaults(request)
 
 
+def is_get_with_body(sending: Sending) -> bool:
+    """Tell whether tornado would refuse the request, which HTTP allows."""
+    return sending.method == 'GET' and bool(sending.body)
+
+
 def body_of(sending: Sending) -> bytes | None:
     """Return the body, None for a method without one."""
     if sending.body or sending.method in ('POST', 'PUT', 'PATCH'):
@@ -268,6 +273,8 @@
     # surplus bytes after the answer can still be seen on it.
     curl.setopt(pycurl.FRESH_CONNECT, 1 if sending.fresh else 0)
     curl.setopt(pycurl.FORBID_REUSE, 1 if sending.close_after else 0)
+    if is_get_with_body(sending):
+        curl.setopt(pycurl.CUSTOMREQUEST, sending.method)
     curl.setopt(pycurl.PREREQFUNCTION, started.on_ready_to_send)
     curl.setopt(pycurl.VERBOSE, 1)
     curl.setopt(pycurl.DEBUGFUNCTION, started.on_debug)
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -199,6 +199,14 @@
         deadline = [li for li in lines if li.startswith('X-Deadline-Ms')]
         assert 1000 < int(deadline[0].partition(':')[2]) <= 1500
 
+    def test_method_and_body_are_those_of_the_caller(self):
+        for method, body in [('GET', b'xy'), ('DELETE', b''), ('PUT', b'xy')]:
+            request = make_request(body, method)
+            outcome, heads, _ = run_with(GOOD, request=request)
+            assert outcome.status == 200
+            assert heads[0][1].startswith(f'{method} /a/x HTTP/1.1')
+            assert ('Content-Length: 2' in heads[0][1]) == bool(body)
+
 
 class TestRepeats:
     """What may run twice is repeated, what may not never is."""
