--- a/libs/citronshelf_common/citronshelf_common/events.py
+++ b/libs/citronshelf_common/citronshelf_common/events.py
@@ -4,7 +4,7 @@
 import sys
 from typing import NamedTuple
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 
 class Event(NamedTuple):
@@ -64,7 +64,7 @@
         Standard error when not given.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
-    formatter = JsonFormatter(
+    formatter = MsgspecFormatter(
         '%(asctime)s %(levelname)s %(name)s %(message)s',
         rename_fields={'asctime': 'time', 'levelname': 'level'},
     )
