--- a/libs/citronshelf_standins/citronshelf_standins/local_fleet.py
+++ b/libs/citronshelf_standins/citronshelf_standins/local_fleet.py
@@ -340,7 +340,7 @@
         path = self.log_path(name)
         if not path.exists():
             return []
-        mark = f'"event": {event},'
+        mark = f'"event":{event},'
         with path.open(encoding='utf-8', errors='replace') as log:
             return [json.loads(line) for line in log if mark in line]
 
