--- a/libs/citronshelf_instance/citronshelf_instance/admin.py
+++ b/libs/citronshelf_common/citronshelf_common/pages.py
@@ -1,16 +1,23 @@
-"""Readiness and metrics over HTTP; GET only."""
+"""Pages that every daemon serves: readiness and metrics; GET only."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 from tornado import httpserver
 from tornado import web
 
 from citronshelf_common import fleet
-from citronshelf_instance import metrics as instance_metrics
+
+
+class Renders(Protocol):
+    """Counters of a daemon."""
+
+    def render(self) -> tuple[bytes, dict]:
+        """Return body and headers in the Prometheus text format."""
 
 
 class ReadyHandler(web.RequestHandler):
-    """``/ready``: 200 while the balancer may send callers here, else 503."""
+    """``/ready``: 200 when the balancer may send callers here, else 503."""
 
     def initialize(self, reason: Callable[[], str]) -> None:
         """Take the function that says why callers should go elsewhere."""
@@ -24,9 +31,9 @@
 
 
 class MetricsHandler(web.RequestHandler):
-    """``/metrics``: counters and histograms in the Prometheus format."""
+    """``/metrics``: counters in the Prometheus text format."""
 
-    def initialize(self, metrics: instance_metrics.InstanceMetrics) -> None:
+    def initialize(self, metrics: Renders) -> None:
         """Take the counters."""
         self.metrics = metrics
 
@@ -38,24 +45,8 @@
         self.finish(body)
 
 
-def start_ready(
-    address: fleet.Address, reason: Callable[[], str]
-) -> httpserver.HTTPServer:
-    """Serve the readiness at an address."""
-    pages = [('/ready', ReadyHandler, {'reason': reason})]
-    return listen(address, pages)
-
-
-def start_metrics(
-    address: fleet.Address, metrics: instance_metrics.InstanceMetrics
-) -> httpserver.HTTPServer:
-    """Serve the metrics at an address."""
-    pages = [('/metrics', MetricsHandler, {'metrics': metrics})]
-    return listen(address, pages)
-
-
 def listen(address: fleet.Address, pages: list) -> httpserver.HTTPServer:
-    """Serve pages at an address."""
+    """Serve pages at an address, without a log line for each request."""
     application = web.Application(pages, log_function=lambda handler: None)
     server = httpserver.HTTPServer(application)
     server.listen(address.port, address.ip)
--- a/libs/citronshelf_entry/citronshelf_entry/admin.py
+++ b/libs/citronshelf_entry/citronshelf_entry/admin.py
@@ -6,41 +6,13 @@
 from tornado import web
 
 from citronshelf_common import fleet
+from citronshelf_common import pages
 from citronshelf_entry import instance_state
 from citronshelf_entry import metrics as metrics_board
 
 CANDIDATES = 50
 
 
-class ReadyHandler(web.RequestHandler):
-    """``/ready``: 200 when the balancer may send callers here, else 503."""
-
-    def initialize(self, reason: Callable[[], str]) -> None:
-        """Take the function that says why callers should go elsewhere."""
-        self.reason = reason
-
-    def get(self) -> None:
-        """Answer the balancer."""
-        reason = self.reason()
-        self.set_status(503 if reason else 200)
-        self.finish({'ready': not reason, 'reason': reason})
-
-
-class MetricsHandler(web.RequestHandler):
-    """``/metrics``: counters in the Prometheus text format."""
-
-    def initialize(self, metrics: metrics_board.MetricsBoard) -> None:
-        """Take the counters."""
-        self.metrics = metrics
-
-    def get(self) -> None:
-        """Answer a scrape."""
-        body, fields = self.metrics.render()
-        for name, value in fields.items():
-            self.set_header(name, value)
-        self.finish(body)
-
-
 class ExplainHandler(web.RequestHandler):
     """``/explain?method=M&host=H&path=P``: what a request would meet."""
 
@@ -101,12 +73,11 @@
     state: instance_state.InstanceState,
 ) -> httpserver.HTTPServer:
     """Listen at the admin address."""
-    application = web.Application(
+    return pages.listen(
+        address,
         [
-            ('/ready', ReadyHandler, {'reason': reason}),
-            ('/metrics', MetricsHandler, {'metrics': metrics}),
+            ('/ready', pages.ReadyHandler, {'reason': reason}),
+            ('/metrics', pages.MetricsHandler, {'metrics': metrics}),
             ('/explain', ExplainHandler, {'state': state}),
         ],
-        log_function=lambda handler: None,
     )
-    return application.listen(address.port, address.ip)
--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -14,23 +14,19 @@
 from tornado import tcpserver
 
 from citronshelf_common import events as log_events
-from citronshelf_entry import headers
 from citronshelf_entry import request_head
 from citronshelf_entry import strict_connection
 from citronshelf_instance import answers
 from citronshelf_instance import caller_request
 from citronshelf_instance import configuration
 from citronshelf_instance import events
+from citronshelf_instance import request_body
 
 LOG = logging.getLogger(__name__)
 
 # Requests of one connection that run at the same time.
 MAX_READ_AHEAD = 8
-READ_BYTES = 64 * 1024
-MAX_CHUNK_LINE_BYTES = 256
 MAX_BUFFER_BYTES = 256 * 1024
-# Bodies of all requests in flight: a fifth of the smallest instance's memory.
-MAX_BODIES_BYTES = 40 * 1024 * 1024
 LISTEN_BACKLOG = 1024
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -252,10 +248,13 @@
             return parsed
         head = parsed.ok
         if (head.framing.length or 0) > limits.max_body_bytes:
-            return Error(too_large(limits))
+            return Error(request_body.too_large(limits))
         if head.continues:
             await self.stream.write(CONTINUE)
-        body = await self.read_body(head.framing, limits)
+        reader = request_body.BodyReader(
+            stream=self.stream, held=self.server.bodies, limits=limits
+        )
+        body = await reader.read(head.framing)
         if body.is_error():
             return body
         return Ok(caller_request.CallerRequest(head, body.ok, arrived_s))
@@ -275,98 +274,6 @@
             if first not in b'\r\n':
                 return first
 
-    async def read_body(self, framing: headers.Framing, limits) -> Result:
-        """Read a body; ``Error`` with a refusal when it is too large."""
-        parts: list[bytes] = []
-        held = self.server.bodies
-        try:
-            if framing.chunked:
-                return await self.read_chunks(parts, held, limits)
-            left = framing.length
-            while left:
-                part = await self.read_part(left, limits)
-                parts.append(part)
-                left -= len(part)
-                if not held.add(len(part)):
-                    return Error(request_head.Refusal(503, 'too many bodies'))
-            return Ok(b''.join(parts))
-        finally:
-            held.remove(sum(map(len, parts)))
-
-    async def read_part(self, most: int, limits) -> bytes:
-        """Read some bytes of a body."""
-        async with asyncio.timeout(limits.idle_timeout_s):
-            return await self.stream.read_bytes(
-                min(most, READ_BYTES), partial=True
-            )
-
-    async def read_chunks(self, parts, held, limits) -> Result:
-        """Read a body in chunks."""
-        size = 0
-        while True:
-            length = chunk_length(await self.read_line(limits))
-            if length is None:
-                return Error(request_head.Refusal(400, 'malformed chunk'))
-            if not length:
-                break
-            size += length
-            if size > limits.max_body_bytes:
-                return Error(too_large(limits))
-            left = length
-            while left:
-                part = await self.read_part(left, limits)
-                parts.append(part)
-                left -= len(part)
-                if not held.add(len(part)):
-                    return Error(request_head.Refusal(503, 'too many bodies'))
-            if await self.read_line(limits):
-                return Error(request_head.Refusal(400, 'malformed chunk'))
-        # Trailers are read and dropped.
-        while await self.read_line(limits):
-            pass
-        return Ok(b''.join(parts))
-
-    async def read_line(self, limits) -> bytes:
-        """Read one line of the chunked framing, without its end."""
-        async with asyncio.timeout(limits.idle_timeout_s):
-            line = await self.stream.read_until(
-                b'\r\n', max_bytes=MAX_CHUNK_LINE_BYTES
-            )
-        return line[:-2]
-
-
-def chunk_length(line: bytes) -> int | None:
-    """Return the length that a chunk declares, None when it is malformed."""
-    digits = line.partition(b';')[0].strip()
-    if not digits or len(digits) > 8:
-        return None
-    try:
-        return int(digits, 16) if digits.isalnum() else None
-    except ValueError:
-        return None
-
-
-def too_large(limits: configuration.CallerLimits) -> request_head.Refusal:
-    """Return the refusal of a body over its limit."""
-    text = f'body over {limits.max_body_bytes} bytes'
-    return request_head.Refusal(413, text)
-
-
-class HeldBodies:
-    """Bytes of bodies that are being read."""
-
-    def __init__(self):
-        self.size = 0
-
-    def add(self, count: int) -> bool:
-        """Count bytes; False when there are too many."""
-        self.size += count
-        return self.size <= MAX_BODIES_BYTES
-
-    def remove(self, count: int) -> None:
-        """Count bytes as released."""
-        self.size -= count
-
 
 class CallerServer(tcpserver.TCPServer):
     """Accepts connections of callers.
@@ -383,7 +290,7 @@
         self.service = service
         self.max_connections = max_connections
         self.connections: set[CallerConnection] = set()
-        self.bodies = HeldBodies()
+        self.bodies = request_body.HeldBytes()
         self.running = 0
         self.draining = False
         self.refused = 0
--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -10,10 +10,10 @@
 from citronshelf_common import fleet
 from citronshelf_common import identity
 from citronshelf_common import log_stream
+from citronshelf_common import pages
 from citronshelf_common import settings as common_settings
 from citronshelf_entry import request_head
 from citronshelf_entry import upstream
-from citronshelf_instance import admin
 from citronshelf_instance import answers
 from citronshelf_instance import caller_connection
 from citronshelf_instance import caller_request
@@ -171,11 +171,13 @@
         """Run until the stop event is set."""
         listen = self.table['listen']
         callers = parse_address(listen['callers'])
-        ready = admin.start_ready(
-            parse_address(listen['ready']), self.unready_reason
+        ready = pages.listen(
+            parse_address(listen['ready']),
+            [('/ready', pages.ReadyHandler, {'reason': self.unready_reason})],
         )
-        pages = admin.start_metrics(
-            parse_address(listen['metrics']), self.metrics
+        counters = pages.listen(
+            parse_address(listen['metrics']),
+            [('/metrics', pages.MetricsHandler, {'metrics': self.metrics})],
         )
         self.server.listen(
             callers.port,
@@ -198,7 +200,7 @@
             for task in tasks:
                 task.cancel()
         ready.stop()
-        pages.stop()
+        counters.stop()
         self.peers.close()
         self.links.close()
         self.client.close()
--- a/libs/citronshelf_instance/citronshelf_instance/metrics.py
+++ b/libs/citronshelf_instance/citronshelf_instance/metrics.py
@@ -11,7 +11,6 @@
     'dispatches': 'Dispatches to backend servers, by result',
     'hedges': 'Second dispatches of requests whose answer is overdue',
     'repeats_denied': 'Repeats that the retry budget did not allow',
-    'log_lines_dropped': 'Log lines beyond the limit of volume',
 }
 
 
--- /dev/null
+++ b/libs/citronshelf_instance/citronshelf_instance/request_body.py
@@ -0,0 +1,132 @@
+"""Bodies of callers' requests, with a length or in chunks."""
+
+import asyncio
+
+from expression import Error
+from expression import Ok
+from expression import Result
+from tornado import iostream
+
+from citronshelf_entry import headers
+from citronshelf_entry import request_head
+from citronshelf_instance import configuration
+
+READ_BYTES = 64 * 1024
+MAX_CHUNK_LINE_BYTES = 256
+# Hexadecimal digits of the length of one chunk.
+MAX_LENGTH_DIGITS = 8
+# Bodies that are being read on all connections: a fifth of the memory of the
+# smallest instance.
+MAX_HELD_BYTES = 40 * 1024 * 1024
+
+
+class HeldBytes:
+    """Bytes of bodies that are being read on all connections."""
+
+    def __init__(self):
+        self.size = 0
+
+    def add(self, count: int) -> bool:
+        """Count bytes; False when there are too many."""
+        self.size += count
+        return self.size <= MAX_HELD_BYTES
+
+    def remove(self, count: int) -> None:
+        """Count bytes as released."""
+        self.size -= count
+
+
+class BodyReader:
+    """Reads one body.
+
+    Parameters
+    ----------
+    stream : IOStream
+    held : HeldBytes
+    limits : CallerLimits
+    """
+
+    def __init__(
+        self,
+        *,
+        stream: iostream.IOStream,
+        held: HeldBytes,
+        limits: configuration.CallerLimits,
+    ):
+        self.stream = stream
+        self.held = held
+        self.limits = limits
+        self.parts: list[bytes] = []
+        self.size = 0
+
+    async def read(self, framing: headers.Framing) -> Result:
+        """Return ``Ok`` with the body or ``Error`` with a refusal."""
+        try:
+            if framing.chunked:
+                refusal = await self.read_chunks()
+            else:
+                refusal = await self.read_exactly(framing.length or 0)
+        finally:
+            self.held.remove(self.size)
+        if refusal is not None:
+            return Error(refusal)
+        return Ok(b''.join(self.parts))
+
+    async def read_exactly(self, count: int) -> request_head.Refusal | None:
+        """Read a number of bytes."""
+        if self.size + count > self.limits.max_body_bytes:
+            return too_large(self.limits)
+        left = count
+        while left:
+            async with asyncio.timeout(self.limits.idle_timeout_s):
+                part = await self.stream.read_bytes(
+                    min(left, READ_BYTES), partial=True
+                )
+            self.parts.append(part)
+            self.size += len(part)
+            left -= len(part)
+            if not self.held.add(len(part)):
+                return request_head.Refusal(503, 'too many bodies')
+        return None
+
+    async def read_chunks(self) -> request_head.Refusal | None:
+        """Read a body in chunks; trailers are read and dropped."""
+        while True:
+            length = chunk_length(await self.read_line())
+            if length is None:
+                return request_head.Refusal(400, 'malformed chunk')
+            if not length:
+                break
+            refusal = await self.read_exactly(length)
+            if refusal is not None:
+                return refusal
+            if await self.read_line():
+                return request_head.Refusal(400, 'malformed chunk')
+        while await self.read_line():
+            pass
+        return None
+
+    async def read_line(self) -> bytes:
+        """Read one line of the chunked framing, without its end."""
+        async with asyncio.timeout(self.limits.idle_timeout_s):
+            line = await self.stream.read_until(
+                b'\r\n', max_bytes=MAX_CHUNK_LINE_BYTES
+            )
+        return line[:-2]
+
+
+def chunk_length(line: bytes) -> int | None:
+    """Return the length that a chunk declares, None when it is malformed."""
+    digits = line.partition(b';')[0].strip()
+    if not digits or len(digits) > MAX_LENGTH_DIGITS or not digits.isalnum():
+        return None
+    try:
+        return int(digits, 16)
+    except ValueError:
+        return None
+
+
+def too_large(limits: configuration.CallerLimits) -> request_head.Refusal:
+    """Return the refusal of a body over its limit."""
+    text = f'body over {limits.max_body_bytes} bytes'
+    return request_head.Refusal(413, text)
