--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -37,6 +37,9 @@
 RESERVED_DESCRIPTORS = 600
 MIN_CONNECTIONS = 64
 SETTINGS_EVERY_S = 5.0
+# Callers that arrive while a process starts wait for its first reading of the
+# store, which takes about a tenth of this.
+FIRST_READING_WAIT_S = 0.5
 # Tables whose changes take a restart.
 FIXED_TABLES = ('instance', 'listen', 'store', 'log')
 
@@ -277,7 +280,7 @@
     ) -> tuple[answers.Answer, str]:
         """Return the answer to a request and the name of its route."""
         head = request.head
-        if not self.state.is_known():
+        if not await self.state.wait_known(FIRST_READING_WAIT_S):
             answer = answers.own(503, 'not-run', 'no configuration')
             self.log_end(request, answer, '', '')
             return answer, ''
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -1,5 +1,6 @@
 """What is published and in force on this instance."""
 
+import asyncio
 import logging
 import random
 
@@ -49,6 +50,7 @@
         self.routes: routing.RouteTable | None = None
         self.limits = configuration.CallerLimits()
         self.on_news = lambda: None
+        self.known = asyncio.Event()
 
     def replace(
         self, snapshot: configuration.Snapshot, *, source: str
@@ -60,6 +62,8 @@
         if snapshot.configuration is not None:
             self.put_in_force(snapshot.configuration, source)
         self.directory.replace(snapshot)
+        if self.is_known():
+            self.known.set()
         self.on_news()
 
     def apply(self, changes: configuration.Changes) -> None:
@@ -74,6 +78,8 @@
         if changes.configuration or changes.registrations:
             self.news_revision = changes.revision
             self.on_news()
+        if self.is_known():
+            self.known.set()
 
     def put_in_force(
         self, published: configuration.Configuration, source: str
@@ -102,6 +108,15 @@
             self.revision, self.configuration, self.directory.snapshot()
         )
 
+    async def wait_known(self, wait_s: float) -> bool:
+        """Wait until requests can be routed; False after the time."""
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.known.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def is_known(self) -> bool:
         """Tell whether requests can be routed."""
         return self.routes is not None and self.directory.revision > 0
--- a/libs/citronshelf_instance/tests/test_published.py
+++ b/libs/citronshelf_instance/tests/test_published.py
@@ -1,5 +1,6 @@
 """Tests of what is in force."""
 
+import asyncio
 import random
 
 from hypothesis import given
@@ -60,6 +61,18 @@
 class TestKnown:
     """Requests are routed once routes and servers are known."""
 
+    def test_early_requests_wait_for_the_first_reading(self):
+        async def run():
+            state = make_state()
+            too_early = await state.wait_known(0.01)
+            waiting = asyncio.create_task(state.wait_known(5.0))
+            await asyncio.sleep(0)
+            first = configuration.Snapshot(3, make_configuration(), ())
+            state.replace(first, source='test')
+            return too_early, await waiting
+
+        assert asyncio.run(run()) == (False, True)
+
     def test_needs_a_configuration(self):
         state = make_state()
         entries = (make_registration(),)
