--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_settings.py
@@ -0,0 +1,37 @@
+"""Tests of the settings file."""
+
+from pathlib import Path
+
+import pytest
+
+from citronshelf_common import checked_toml
+from citronshelf_instance import settings
+
+EXAMPLE = Path(__file__).resolve().parents[3] / 'examples' / 'instance.toml'
+
+
+def load(text):
+    return checked_toml.load_table(text, 'instance.toml', settings.Settings)
+
+
+class TestExample:
+    """The example is valid, and faults in it are named."""
+
+    def test_is_valid(self):
+        assert load(EXAMPLE.read_text(encoding='utf-8')).is_ok()
+
+    @pytest.mark.parametrize(
+        'good, bad, key',
+        [
+            ('ratio = 0.2', 'ratio = "much"', 'retries.ratio'),
+            ('accept_s = 3.0', 'accept_s = -1', 'shutdown.accept_s'),
+            ('"127.0.0.1:8384"', '"store"', 'store.address'),
+            ('name = "howrah-1"', '', 'instance'),
+            ('lines_per_s', 'lines', 'log'),
+        ],
+    )
+    def test_fault_names_its_key(self, good, bad, key):
+        text = EXAMPLE.read_text(encoding='utf-8')
+        fault = load(text.replace(good, bad)).error
+        assert fault.key.startswith(key)
+        assert fault.line > 0
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -9,6 +9,7 @@
 from citronshelf_common import settings
 from citronshelf_document import parsing
 from citronshelf_document import routing
+from citronshelf_instance import settings as instance_settings
 
 EXAMPLES = Path(__file__).resolve().parent.parent / 'examples'
 USERS = ('shonkha', 'thunnal')
@@ -20,7 +21,13 @@
     def test_every_example_is_tested(self):
         files = {str(p.relative_to(EXAMPLES)) for p in EXAMPLES.rglob('*.*')}
         names = ('document.toml', 'settings.toml')
-        assert files == {f'{user}/{name}' for user in USERS for name in names}
+        of_users = {f'{user}/{name}' for user in USERS for name in names}
+        assert files == of_users | {'instance.toml'}
+
+    def test_instance_settings(self):
+        path = str(EXAMPLES / 'instance.toml')
+        read = program.read_settings(path, instance_settings.Settings)
+        assert read.is_ok(), read.error.render()
 
     @pytest.mark.parametrize('user', USERS)
     def test_settings(self, user):
