Keep the tests of one file in one worker

Cause: test_hostile_messages.py::test_instance_still_works looks at a fleet that the tests before it in the file have used; it failed in a whole run when they went to another worker (775 passed, 1 failed in 4:16).

--- a/conftest.py
+++ b/conftest.py
@@ -33,5 +33,8 @@
         if item.nodeid in KNOWN_RED:
             reason = 'listed in KNOWN-RED.txt'
             item.add_marker(pytest.mark.xfail(reason=reason, strict=False))
+        # Tests of one file may share a fleet, so that they stay together.
+        group = str(item.path)
         if any(item.path.is_relative_to(place) for place in PROCESS_TESTS):
-            item.add_marker(pytest.mark.xdist_group('processes'))
+            group = 'processes'
+        item.add_marker(pytest.mark.xdist_group(group))
