instance: disconnect callers that fall silent after an answer

Cause: the reader began to wait for the next request while an answer was due, without a limit, and kept that limit when the answer was written; kept connections stayed open for ever. A head over the limit ended the connection instead of getting 431, since no more than the limit was read. Requests that callers begin and do not end are logged.

Two checks could not fail: the order of a request that must not repeat (both sides of the comparison were constant) and the question to peers while the store is away (the answer of an earlier call satisfied it).

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -28,6 +28,9 @@
 MAX_READ_AHEAD = 8
 MAX_BUFFER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
+# A head over the limit is read so far and refused; a longer one ends the
+# connection without an answer.
+READ_HEAD_FACTOR = 4
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 # Faults of the caller or its connection while a request is read.
@@ -83,6 +86,7 @@
         self.pending: asyncio.Queue[Pending] = asyncio.Queue(MAX_READ_AHEAD)
         self.unanswered = 0
         self.answered = asyncio.Event()
+        self.answered_s = time.monotonic()
         self.reading = False
         self.ending = False
 
@@ -148,7 +152,8 @@
         while True:
             try:
                 read = await self.read_request()
-            except READ_FAULTS:
+            except READ_FAULTS as fault:
+                self.log_unread(fault)
                 return
             if read.is_error():
                 self.refuse(read.error)
@@ -167,6 +172,13 @@
             if self.pending.full():
                 await self.wait_answered()
 
+    def log_unread(self, fault: Exception) -> None:
+        """Log a request that its caller began and did not end."""
+        if self.reading:
+            log_events.log_event(
+                LOG, events.REQUEST_REFUSED, reason=f'unread: {fault!r}'
+            )
+
     async def wait_answered(self) -> None:
         """Wait until every earlier request is answered."""
         while self.unanswered:
@@ -213,6 +225,7 @@
             except iostream.StreamClosedError:
                 return
             self.unanswered -= 1
+            self.answered_s = time.monotonic()
             self.answered.set()
             self.pending.task_done()
             if closes:
@@ -235,7 +248,8 @@
         self.reading = True
         async with asyncio.timeout(limits.head_timeout_s):
             rest = await self.stream.read_until(
-                b'\r\n\r\n', max_bytes=limits.max_head_bytes + 1
+                b'\r\n\r\n',
+                max_bytes=READ_HEAD_FACTOR * limits.max_head_bytes,
             )
         arrived_s = time.monotonic()
         if len(rest) >= limits.max_head_bytes:
@@ -262,18 +276,24 @@
     async def read_first_byte(self, limits) -> bytes:
         """Wait for the next request as long as an idle caller may take."""
         while True:
-            limit_s = None if self.unanswered else limits.idle_timeout_s
-            try:
-                async with asyncio.timeout(limit_s):
-                    first = await self.stream.read_bytes(1)
-            except TimeoutError:
-                if self.unanswered:
-                    continue
-                raise
+            first = await self.wait_for_byte(limits)
             # Empty lines between requests are allowed.
             if first not in b'\r\n':
                 return first
 
+    async def wait_for_byte(self, limits) -> bytes:
+        """Wait for one byte; the caller is not idle while it waits itself."""
+        reading = asyncio.ensure_future(self.stream.read_bytes(1))
+        while True:
+            left_s = limits.idle_timeout_s
+            if not self.unanswered:
+                left_s += self.answered_s - time.monotonic()
+                if left_s <= 0:
+                    raise TimeoutError
+            await asyncio.wait({reading}, timeout=left_s)
+            if reading.done():
+                return reading.result()
+
 
 class CallerServer(tcpserver.TCPServer):
     """Accepts connections of callers.
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -36,7 +36,6 @@
     """Why the store gave no answer that can be used."""
 
     NO_ANSWER = 'no-answer'
-    REFUSED = 'refused'
     HISTORY_LOST = 'history-lost'
 
 
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -31,17 +31,20 @@
         self.limits = limits
         self.begun = []
         self.ended = []
+        self.order = []
         self.cancelled = []
 
     async def handle(self, request):
         path = request.head.path
         self.begun.append(path)
+        self.order.append(f'begin {path}')
         try:
             await asyncio.sleep(self.delays.get(path, 0))
         except asyncio.CancelledError:
             self.cancelled.append(path)
             raise
         self.ended.append(path)
+        self.order.append(f'end {path}')
         return answers.Answer(200, (), path.encode() + request.body)
 
     async def __aenter__(self):
@@ -108,11 +111,11 @@
                 )
                 bodies = [(await read_answer(reader))[1] for _ in range(3)]
                 writer.close()
-                return bodies, backend.begun, backend.ended
+                return bodies, backend.order
 
-        bodies, begun, ended = asyncio.run(run())
+        bodies, order = asyncio.run(run())
         assert bodies == [b'/1', b'/2x', b'/3']
-        assert ended.index('/1') < begun.index('/2') + 1
+        assert order.index('end /1') < order.index('begin /2')
 
     def test_requests_behind_a_close_do_not_run(self):
         async def run():
@@ -214,7 +217,7 @@
                 + b'zz\r\n',
                 400,
             ),
-            (request_bytes('/1', extra='A: ' + 'x' * 1100 + '\r\n'), None),
+            (request_bytes('/1', extra='A: ' + 'x' * 1100 + '\r\n'), 431),
         ],
     )
     def test_bad_request_is_refused_and_does_not_run(self, data, status):
@@ -227,9 +230,8 @@
 
         answer, begun = asyncio.run(run())
         assert begun == []
-        if status is not None:
-            assert answer.startswith(f'HTTP/1.1 {status}'.encode())
-            assert b'Connection: close' in answer
+        assert answer.startswith(f'HTTP/1.1 {status}'.encode())
+        assert b'Connection: close' in answer
 
 
 class TestTimeLimits:
@@ -245,6 +247,29 @@
 
         assert asyncio.run(run()) == b''
 
+    def test_caller_that_falls_silent_after_an_answer_is_disconnected(self):
+        async def run():
+            async with Backend({'/1': 0.1}) as backend:
+                reader, writer = await backend.connect()
+                writer.write(request_bytes('/1'))
+                await read_answer(reader)
+                return await asyncio.wait_for(reader.read(), 2)
+
+        assert asyncio.run(run()) == b''
+
+    def test_kept_connection_serves_another_request(self):
+        async def run():
+            async with Backend() as backend:
+                reader, writer = await backend.connect()
+                bodies = []
+                for path in ('/1', '/2'):
+                    writer.write(request_bytes(path))
+                    bodies.append((await read_answer(reader))[1])
+                    await asyncio.sleep(0.8 * SHORT.idle_timeout_s)
+                return bodies
+
+        assert asyncio.run(run()) == [b'/1', b'/2']
+
     def test_waiting_caller_is_not_idle(self):
         async def run():
             async with Backend({'/1': 0.7}) as backend:
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -121,16 +121,12 @@
 
     def test_peers_are_asked_while_the_store_is_away(self, clock):
         store = ScriptedStore([snapshot(3)], [Error(LOST)])
-        store.watches += [Error(LOST)] * 100
-
-        def act(reader):
-            asked.clear()
-            reader.note_peer_revision(4)
-
-        asked = []
-        reader, calls = read_with(store, clock, act)
-        assert not reader.answers
-        assert calls
+        reader, asked = read_with(store, clock)
+        before = len(asked)
+        reader.note_peer_revision(4)
+        assert len(asked) == before + 1
+        reader.note_peer_revision(3)
+        assert len(asked) == before + 1
 
 
 class TestOutage:
