--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -8,7 +8,7 @@
     mkdir -p target
     cp "$lock" "$stamp"
 fi
-for package in common document entry health instance peering traffic; do
+for package in common document entry instance peering; do
     rm -rf "target/deps/citronshelf_$package"
     cp -r "libs/citronshelf_$package/citronshelf_$package" target/deps/
 done
--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -168,6 +168,11 @@
         add('instances', 'Instances known alive', self.members.count)
         add('store_calls', 'Calls to the store', lambda: self.reader.calls)
         add('store_answers', 'Store reachable', lambda: self.reader.answers)
+        add(
+            'peer_messages_dropped',
+            'Messages to instances that could not be queued',
+            lambda: self.links.dropped,
+        )
         add('log_dropped', 'Dropped lines', lambda: log_output.dropped)
 
     async def serve(self, stopping: asyncio.Event) -> int:
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -230,8 +230,10 @@
         if server is None:
             return
         self.state.directory.record(observation, self.own.instance)
-        if len(self.rows) < MAX_PENDING_ROWS:
-            self.rows.append(observation)
+        self.rows.append(observation)
+        if len(self.rows) >= MAX_PENDING_ROWS:
+            self.flush_within(0.0)
+            return
         urgent = is_urgent(observation, server.evidence)
         self.flush_within(URGENT_DELAY_S if urgent else EVIDENCE_DELAY_S)
 
@@ -248,7 +250,8 @@
     def flush(self) -> None:
         """Send the signs of the last moment to the region."""
         self.flushing = None
-        rows, self.rows = tuple(self.rows), []
+        rows = tuple(self.rows[: peer_messages.MAX_ROWS])
+        del self.rows[: len(rows)]
         near = self.members.of_region()
         if len(near) > MAX_EVIDENCE_PEERS:
             near = self.rng.sample(near, MAX_EVIDENCE_PEERS)
@@ -257,6 +260,8 @@
         )
         for known in near:
             self.send(known.member.address, message)
+        if self.rows:
+            self.flush_within(0.0)
 
     def close(self) -> None:
         """Send nothing more."""
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -200,6 +200,28 @@
         assert sent == 3
         assert belief < 0.01
 
+    def test_no_sign_of_a_burst_is_lost(self, clock):
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            heard = []
+            other = group.instances[2]
+            other.state.directory.record = lambda row, source: heard.append(
+                row
+            )
+            for number in range(1000):
+                sign = evidence.Sign.GOOD
+                group.instances[1].observe(
+                    evidence.Observation('s1', sign, 1.0 + number)
+                )
+            await asyncio.sleep(0.1)
+            return heard
+
+        heard = asyncio.run(run())
+        assert [row.slowness for row in heard] == [
+            1.0 + number for number in range(1000)
+        ]
+
     def test_shed_request_leaves_the_server_out_everywhere(self, clock):
         async def run():
             group = Fleet(clock)
