--- a/measures/instance_cost.py
+++ b/measures/instance_cost.py
@@ -1,22 +1,26 @@
-"""Cost of the instance daemon's steps: belief, choice, routes, messages."""
+"""Cost of the instance daemon's steps: belief, choice, messages, log."""
 
 import logging
+import os
 import random
 import time
 import tracemalloc
 
+from citronshelf_common import events as log_events
 from citronshelf_common import fleet
 from citronshelf_instance import configuration
+from citronshelf_instance import events
 from citronshelf_instance import evidence
 from citronshelf_instance import peer_messages
 from citronshelf_instance import placement
 from citronshelf_instance import registrations
 from citronshelf_instance import routing
 
+LOG = logging.getLogger(__name__)
 REPEATS = 2000
 SERVERS = (8, 30, 120)
 ROUTES = (540, 5400, 54000)
-ROWS = 10
+ROWS = (10, 80)
 
 
 def entry(number: int) -> configuration.Registration:
@@ -108,8 +112,8 @@
     }
 
 
-def measure_message() -> dict:
-    """Return size and cost of a message of evidence."""
+def measure_message(count: int) -> dict:
+    """Return size and cost of a message with a number of signs."""
     own = peer_messages.Member(
         'instance-1',
         '0123456789abcdef',
@@ -119,12 +123,12 @@
     )
     rows = tuple(
         evidence.Observation(f'server-{n}', evidence.Sign.GOOD, 1.0)
-        for n in range(ROWS)
+        for n in range(count)
     )
     message = peer_messages.Evidence(own, 1000, rows)
     data = peer_messages.CODEC.encode(message)
     return {
-        'rows': ROWS,
+        'rows': count,
         'bytes': len(data),
         'encode us': round(
             timed_us(lambda: peer_messages.CODEC.encode(message)), 1
@@ -135,14 +139,40 @@
     }
 
 
+def measure_log() -> dict:
+    """Return the cost of one log line of a decision."""
+    with open(os.devnull, 'w', encoding='utf-8') as nowhere:
+        log_events.configure_logging(stream=nowhere)
+        return {
+            'log line us': round(
+                timed_us(
+                    lambda: log_events.log_event(
+                        LOG,
+                        events.SERVER_CHOSEN,
+                        request_id='0123456789abcdef',
+                        service='service',
+                        server='server-1',
+                        candidates=8,
+                        loss=0.1,
+                        failing=0.2,
+                        slowness=1.0,
+                    )
+                ),
+                1,
+            )
+        }
+
+
 def main() -> None:
     """Print one line for each measurement."""
+    print(measure_log())
     logging.getLogger().setLevel(logging.CRITICAL)
     for count in SERVERS:
         print(measure_servers(count))
     for count in ROUTES:
         print(measure_routes(count))
-    print(measure_message())
+    for count in ROWS:
+        print(measure_message(count))
 
 
 if __name__ == '__main__':
