instance: let the waits of watches grow with the fleet

The store had fallen silent for a moment; all three watches were lost on connections that stayed open and ended by their timeouts after 6.7 s, the first of them then told the others within 0.4 s (logs of the three instances). Ruled out: the news between instances, the pause after a change.

Waits were 4 to 12 s whatever the size; with 36 instances one ends soon, with three none did. Now 2 s and up to 0.28 s for each instance, 28 s at most.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -104,6 +104,7 @@
             ),
             state=self.state,
             ask_peers=self.peers.fetch,
+            instances=self.members.count,
             clock=clock,
             rng=self.rng,
         )
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -19,10 +19,14 @@
 # 2.5 s that the platform allows; servers that start one after another end one
 # watch for all of each pause.
 PAUSE_AFTER_CHANGE_S = 1.2
-# A watch may miss a change. Instances wait for different times, so that one of
-# them soon finds it and tells the others.
-MIN_WATCH_S = 4.0
-MAX_WATCH_S = 12.0
+# A watch may miss a change, and a lost connection shows only when its wait is
+# over. Instances draw different waits, the longer the more instances there
+# are, so that one of them soon finds a missed change and tells the others: the
+# first wait of any fleet ends after little more than the shortest.
+MIN_WATCH_S = 2.0
+WATCH_SPACING_S = 0.28
+# The platform ends longer waits itself.
+MAX_WATCH_S = 28.0
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 1.5
 # How long the store may be behind what another instance knows before the
@@ -65,6 +69,8 @@
     state : PublishedState
     ask_peers : callable
         Asks another instance for its state.
+    instances : callable
+        Returns the number of instances, this one included.
     clock : callable
         Monotonic seconds.
     rng : random.Random
@@ -76,12 +82,14 @@
         store: Store,
         state: published.PublishedState,
         ask_peers,
+        instances,
         clock,
         rng: random.Random,
     ):
         self.store = store
         self.state = state
         self.ask_peers = ask_peers
+        self.instances = instances
         self.clock = clock
         self.rng = rng
         self.answers = True
@@ -114,7 +122,7 @@
     async def watch(self) -> None:
         """Wait for changes once."""
         self.calls += 1
-        wait_s = self.rng.uniform(MIN_WATCH_S, MAX_WATCH_S)
+        wait_s = self.draw_wait_s()
         watching = asyncio.ensure_future(
             self.store.watch(self.state.revision, wait_s)
         )
@@ -139,6 +147,11 @@
         if changed.ok.registrations or changed.ok.configuration:
             await asyncio.sleep(PAUSE_AFTER_CHANGE_S)
 
+    def draw_wait_s(self) -> float:
+        """Return how long the next watch waits for a change."""
+        longest_s = MIN_WATCH_S + WATCH_SPACING_S * self.instances()
+        return self.rng.uniform(MIN_WATCH_S, min(longest_s, MAX_WATCH_S))
+
     async def wait_behind(self) -> None:
         """Wait until another instance has known more for a while."""
         self.behind.clear()
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -30,12 +30,14 @@
         self.reads = list(reads)
         self.watches = list(watches)
         self.watched = []
+        self.waits = []
 
     async def read_all(self):
         return await self.next_of(self.reads)
 
     async def watch(self, after, wait_s):
         self.watched.append(after)
+        self.waits.append(wait_s)
         return await self.next_of(self.watches)
 
     async def next_of(self, results):
@@ -64,6 +66,7 @@
             store=store,
             state=state,
             ask_peers=lambda: asked.append(1),
+            instances=lambda: 3,
             clock=clock,
             rng=random.Random(1),
         )
@@ -129,6 +132,35 @@
         assert len(asked) == before + 1
 
 
+class TestWaits:
+    """A change that every watch missed is found soon in any fleet.
+
+    The platform wants a change in force 2.5 s after it was made, which may be
+    3 s after the store is well again; 1.5 s are for the answer.
+    """
+
+    @pytest.mark.parametrize('instances', [1, 3, 10, 36, 105, 6400])
+    def test_first_wait_of_a_fleet_ends_soon(self, clock, instances):
+        reader, _ = read_with(ScriptedStore(), clock)
+        reader.instances = lambda: instances
+        firsts = [
+            min(reader.draw_wait_s() for _ in range(instances))
+            for _ in range(max(1, 2000 // instances))
+        ]
+        firsts.sort()
+        assert firsts[int(0.99 * len(firsts))] <= 4.0
+
+    def test_calls_grow_more_slowly_than_the_fleet(self, clock):
+        reader, _ = read_with(ScriptedStore(), clock)
+        rates = {}
+        for instances in (3, 36, 105):
+            reader.instances = lambda: instances
+            waits = [reader.draw_wait_s() for _ in range(2000)]
+            rates[instances] = instances / (sum(waits) / len(waits))
+        assert rates[36] < rates[3] * 36 / 3
+        assert rates[105] < rates[36] * 105 / 36
+
+
 class TestOutage:
     """Registrations may lapse while the store is away."""
 
