tests: keep the tests of a file in one worker

Ruled out: the order of hooks (the marks were present, the identifiers of tests carried no group). A scheduler of our own groups by file; a test runs pytest with it.

--- /dev/null
+++ b/tests/test_worker_groups.py
@@ -0,0 +1,58 @@
+"""Tests of the groups of tests that share a worker."""
+
+import pathlib
+import subprocess
+import sys
+
+import worker_groups
+
+TESTS_FOLDER = pathlib.Path(worker_groups.__file__).parent
+CONFTEST = """
+import worker_groups
+
+def pytest_xdist_make_scheduler(config, log):
+    return worker_groups.GroupScheduling(config, log)
+"""
+TESTS = """
+import os, pathlib, time
+import pytest
+
+@pytest.mark.parametrize('number', range(12))
+def test_worker(number):
+    name = os.environ['PYTEST_XDIST_WORKER']
+    (pathlib.Path(__file__).parent / f'{name}.txt').touch()
+    time.sleep(0.02)
+"""
+
+
+class TestGroups:
+    """Files stay together, and so do all tests of processes."""
+
+    def test_file(self):
+        first = worker_groups.group_of('libs/a/tests/test_b.py::TestC::test_d')
+        second = worker_groups.group_of('libs/a/tests/test_b.py::TestE::x[@]')
+        other = worker_groups.group_of('libs/a/tests/test_c.py::TestC::test_d')
+        assert first == second != other
+
+    def test_processes(self):
+        first = worker_groups.group_of('tests/test_servers.py::TestA::test_b')
+        second = worker_groups.group_of(
+            'platform/tests/test_soak.py::TestA::test_b'
+        )
+        assert first == second
+
+
+class TestScheduling:
+    """The groups reach the workers of a run."""
+
+    def test_file_runs_in_one_worker(self, tmp_path):
+        (tmp_path / 'conftest.py').write_text(CONFTEST, 'utf-8')
+        (tmp_path / 'test_workers.py').write_text(TESTS, 'utf-8')
+        subprocess.run(
+            [sys.executable, '-m', 'pytest', '-n', '2', '--dist', 'loadgroup']
+            + ['-o', f'pythonpath={TESTS_FOLDER}', '.'],
+            cwd=tmp_path,
+            check=True,
+            timeout=60.0,
+        )
+        assert len(list(tmp_path.glob('gw*.txt'))) == 1
