instance: weigh failures above lateness, and expect episodes as long as seen

The model expected recovery after 5 s; episodes last 10 s and three servers in ten are in one. A failure also counted as less than two answers at the target time.

Tests: the waiting time in test_recovers_without_requests follows the mean episode, with a narrower bound; servers in test_forwarding are tried in order without a draw; the far region's belief is compared with the prior.

--- a/libs/citronshelf_instance/citronshelf_instance/placement.py
+++ b/libs/citronshelf_instance/citronshelf_instance/placement.py
@@ -15,12 +15,15 @@
 
 # Losses are shares of a request's worth. Servers whose losses differ by less
 # than this share the work; larger values spread it more evenly.
-SPREAD = 0.03
-# A failed idempotent request is mostly saved by a second server.
+SPREAD = 0.05
+# A failed request loses all of its worth; an idempotent one is mostly saved
+# by a second server.
+FAILURE_LOSS = 1.0
 IDEMPOTENT_FAILURE_LOSS = 0.3
-FAILURE_LOSS = 0.6
 # Loss of an answer at the target time; it grows with the square of the time.
-LATE_LOSS = 0.3
+# Late answers are worth a third, and few that are expected at the target are
+# late by much.
+LATE_LOSS = 0.1
 # A server that has just started works this much slower.
 WARMUP_SLOWNESS = 2.0
 # What a route takes before its first answer: its share of the target.
--- a/libs/citronshelf_instance/tests/test_evidence.py
+++ b/libs/citronshelf_instance/tests/test_evidence.py
@@ -44,7 +44,7 @@
         assert known.failure_share(0.5) > 0.5
         fresh = evidence.ServerEvidence(now=0.0)
         usual = fresh.failure_share(0.0)
-        assert known.failure_share(30.0) == pytest.approx(usual, rel=0.02)
+        assert known.failure_share(60.0) == pytest.approx(usual, rel=0.002)
 
     def test_shed_requests_say_nothing_about_failing(self):
         known = evidence.ServerEvidence(now=0.0)
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -103,6 +103,11 @@
     return caller_request.CallerRequest(head, body, time.monotonic())
 
 
+def pick_least_loss(candidates):
+    """Choose without a draw, so that servers are tried in a known order."""
+    return min(candidates, key=lambda one: one.loss, default=None)
+
+
 class Rig:
     """Forwarder in front of scripted servers; the first is preferred."""
 
@@ -120,8 +125,10 @@
             state = self.directory.servers[entry.server_id]
             state.evidence.slowness = 1.0 + int(entry.server_id[1:])
         self.client = upstream.UpstreamClient()
+        placer = make_placer(self.directory, time.monotonic)
+        placer.pick = pick_least_loss
         self.forwarder = forwarding.Forwarder(
-            placer=make_placer(self.directory, time.monotonic),
+            placer=placer,
             client=self.client,
             names=NAMES,
             terms=forwarding.BudgetTerms(self.ratio, self.slack, 10.0),
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -179,7 +179,7 @@
         beliefs = asyncio.run(run())
         same_region = [beliefs[n] for n in (2, 4, 5)]
         assert min(same_region) > 0.7
-        assert max(beliefs[0], beliefs[3]) < 0.2
+        assert max(beliefs[0], beliefs[3]) <= evidence.PRIOR
 
     def test_usual_answers_are_told_together(self, clock, monkeypatch):
         monkeypatch.setattr(peers, 'EVIDENCE_DELAY_S', 0.1)
--- a/libs/citronshelf_instance/tests/test_placement.py
+++ b/libs/citronshelf_instance/tests/test_placement.py
@@ -49,6 +49,28 @@
         seen = choices(make_placer(directory, clock), idempotent=False)
         assert seen['bad'] == 0
 
+    def test_failed_server_is_tested_with_idempotent_requests(self, clock):
+        """Ten seconds, the mean episode, after its failure."""
+        entries = [make_registration(f's{n}') for n in range(10)]
+        directory = make_directory(clock, *entries)
+        directory.record(
+            evidence.Observation('s0', evidence.Sign.FAILED, 0.0), 'i1'
+        )
+        clock.now += 10.0
+        for entry in entries[1:]:
+            for _ in range(3):
+                directory.record(
+                    evidence.Observation(
+                        entry.server_id, evidence.Sign.GOOD, 1.0
+                    ),
+                    'i1',
+                )
+        placer = make_placer(directory, clock)
+        even = 2000 / len(entries)
+        once = choices(placer, 2000, idempotent=False)
+        assert once['s0'] < even / 20
+        assert choices(placer, 2000)['s0'] > even / 20
+
     def test_slow_server_is_avoided(self, clock):
         entries = [make_registration('good'), make_registration('slow')]
         directory = make_directory(clock, *entries)
--- /dev/null
+++ b/measures/gray_placement.py
@@ -0,0 +1,288 @@
+"""Requests that fail or are late behind servers that fail by turns.
+
+Simulated instances with the product's own choice and belief send requests to
+simulated servers on a simulated clock; a run repeats exactly.
+"""
+
+import argparse
+import heapq
+import itertools
+import logging
+import math
+import random
+from typing import NamedTuple
+
+from citronshelf_common import fleet
+from citronshelf_instance import configuration
+from citronshelf_instance import evidence
+from citronshelf_instance import peers
+from citronshelf_instance import placement
+from citronshelf_instance import registrations
+
+# The service and traffic of the users' shonkha-gate: serial-mint as seen from
+# one region, and its busiest route (logs of quiet days).
+INSTANCES = 18
+SERVERS = 17
+SLOTS = 2
+QUEUE = 8
+WORK_S = 0.14
+WORK_SPREAD = 0.8
+LONG_SHARE = 0.03
+LONG_FACTOR = 7.0
+TARGET_S = 0.8
+ERROR_SHARE = 0.012
+FAILING_ERROR_SHARE = 0.9
+SOUND_MEAN_S = 22.0
+FAILING_MEAN_S = 10.0
+WAVE_SWING = 0.55
+WAVE_PERIOD_S = 15.0
+HOP_S = 0.002
+MAX_SERVERS = 2
+
+
+class Call(NamedTuple):
+    """One dispatch of a request."""
+
+    instance: 'Instance'
+    server: registrations.ServerState
+    route: configuration.Route
+    began_s: float
+    sent_s: float
+    tried: set[str]
+
+
+class Simulation:
+    """Events on a simulated clock."""
+
+    def __init__(self, seed: int):
+        self.now = 0.0
+        self.pending = []
+        self.order = itertools.count()
+        self.rng = random.Random(seed)
+
+    def clock(self) -> float:
+        """Return the simulated time in seconds."""
+        return self.now
+
+    def after(self, seconds: float, action, *arguments) -> None:
+        """Do something later."""
+        entry = (self.now + seconds, next(self.order), action, arguments)
+        heapq.heappush(self.pending, entry)
+
+    def run(self, until_s: float) -> None:
+        """Play the events up to a time."""
+        while self.pending and self.pending[0][0] < until_s:
+            self.now, _, action, arguments = heapq.heappop(self.pending)
+            action(*arguments)
+
+
+class Server:
+    """A server with a few slots and a short queue that fails by turns."""
+
+    def __init__(self, simulation: Simulation):
+        self.simulation = simulation
+        self.running = 0
+        self.queue: list[tuple[Call, object]] = []
+        share = FAILING_MEAN_S / (FAILING_MEAN_S + SOUND_MEAN_S)
+        self.is_failing = simulation.rng.random() < share
+        self.plan_change()
+
+    def plan_change(self) -> None:
+        """Change between failing and sound later."""
+        mean_s = FAILING_MEAN_S if self.is_failing else SOUND_MEAN_S
+        wait_s = self.simulation.rng.expovariate(1 / mean_s)
+        self.simulation.after(wait_s, self.change)
+
+    def change(self) -> None:
+        """Begin or end to fail."""
+        self.is_failing = not self.is_failing
+        self.plan_change()
+
+    def receive(self, call: Call, ended) -> None:
+        """Fail, run, queue or refuse a request."""
+        rng = self.simulation.rng
+        if self.is_failing and rng.random() < FAILING_ERROR_SHARE:
+            self.simulation.after(HOP_S, ended, call, evidence.Sign.FAILED)
+        elif self.running < SLOTS:
+            self.start(call, ended)
+        elif len(self.queue) < QUEUE:
+            self.queue.append((call, ended))
+        else:
+            self.simulation.after(HOP_S, ended, call, evidence.Sign.SHED)
+
+    def start(self, call: Call, ended) -> None:
+        """Run a request in a free slot."""
+        self.running += 1
+        rng = self.simulation.rng
+        spread = math.sqrt(math.log(1 + WORK_SPREAD**2))
+        work_s = WORK_S * rng.lognormvariate(-(spread**2) / 2, spread)
+        if rng.random() < LONG_SHARE:
+            work_s *= LONG_FACTOR
+        self.simulation.after(work_s, self.finish, call, ended)
+
+    def finish(self, call: Call, ended) -> None:
+        """Answer, and start what waits."""
+        self.running -= 1
+        if self.queue:
+            self.start(*self.queue.pop(0))
+        failed = self.simulation.rng.random() < ERROR_SHARE
+        sign = evidence.Sign.FAILED if failed else evidence.Sign.GOOD
+        self.simulation.after(HOP_S, ended, call, sign)
+
+
+class Instance:
+    """One instance: its belief, its choices, and what it tells others."""
+
+    def __init__(self, region: 'Region'):
+        self.region = region
+        self.simulation = region.simulation
+        self.directory = registrations.Directory(clock=self.simulation.clock)
+        for number in range(SERVERS):
+            self.directory.put(registration(number))
+        self.directory.index()
+        self.placer = placement.Placer(
+            directory=self.directory,
+            place=fleet.Place('region', 'zone'),
+            regions={'zone': 'region'},
+            distances=placement.Distances(0.0, 0.0, 0.0),
+            clock=self.simulation.clock,
+            rng=random.Random(self.simulation.rng.random()),
+        )
+        self.rows: list[evidence.Observation] = []
+        self.is_flushing = False
+
+    def send(self, one: configuration.Route, began_s: float, tried) -> bool:
+        """Dispatch a request; false when no server may be tried."""
+        if len(tried) >= MAX_SERVERS:
+            return False
+        server = self.placer.choose(one, 'service', 'r', 0, tried)
+        if server is None:
+            return False
+        server.running += 1
+        now = self.simulation.now
+        call = Call(
+            self, server, one, began_s, now, {*tried, server.server_id}
+        )
+        target = self.region.servers[server.registration.address.port]
+        self.simulation.after(HOP_S, target.receive, call, self.take)
+        return True
+
+    def take(self, call: Call, sign: evidence.Sign) -> None:
+        """Take how a dispatch ended."""
+        call.server.running -= 1
+        now = self.simulation.now
+        slowness = 0.0
+        if sign is evidence.Sign.GOOD:
+            usage = self.placer.usage_of(call.route)
+            slowness = (now - call.sent_s) / max(usage.seconds, 0.001)
+            usage.record(now - call.sent_s, 1000)
+            self.region.late += now - call.began_s > TARGET_S
+        self.observe(
+            evidence.Observation(call.server.server_id, sign, slowness)
+        )
+        if sign is evidence.Sign.GOOD:
+            return
+        again = call.route.idempotent or sign is evidence.Sign.SHED
+        if not again or not self.send(call.route, call.began_s, call.tried):
+            self.region.failed += 1
+
+    def observe(self, seen: evidence.Observation) -> None:
+        """Record a sign, and tell the others soon."""
+        self.directory.record(seen, 'own')
+        self.rows.append(seen)
+        known = self.directory.servers[seen.server_id].evidence
+        if peers.is_urgent(seen, known):
+            self.simulation.after(peers.URGENT_DELAY_S, self.flush)
+        elif not self.is_flushing:
+            self.is_flushing = True
+            self.simulation.after(peers.EVIDENCE_DELAY_S, self.flush)
+
+    def flush(self) -> None:
+        """Tell the others what was seen."""
+        rows, self.rows, self.is_flushing = self.rows, [], False
+        self.simulation.after(HOP_S, self.region.deliver, self, rows)
+
+
+class Region:
+    """The instances and servers of one service in a region."""
+
+    def __init__(self, *, seed: int, rate: float, idempotent: bool):
+        self.simulation = Simulation(seed)
+        self.rate = rate
+        self.route = route(idempotent)
+        self.requests = self.failed = self.late = 0
+        self.servers = [Server(self.simulation) for _ in range(SERVERS)]
+        self.instances = [Instance(self) for _ in range(INSTANCES)]
+        self.arrive()
+
+    def arrive(self) -> None:
+        """Receive a request, and plan the next."""
+        simulation = self.simulation
+        wave = math.sin(2 * math.pi * simulation.now / WAVE_PERIOD_S)
+        rate = self.rate * (1 + WAVE_SWING * wave)
+        simulation.after(simulation.rng.expovariate(rate), self.arrive)
+        self.requests += 1
+        one = simulation.rng.choice(self.instances)
+        one.send(self.route, simulation.now, set())
+
+    def deliver(self, sender: Instance, rows) -> None:
+        """Give evidence to the other instances."""
+        for one in self.instances:
+            if one is not sender:
+                for row in rows:
+                    one.directory.record(row, 'other')
+
+
+def registration(number: int) -> configuration.Registration:
+    """Return the registration of one server."""
+    return configuration.Registration(
+        server_id=f'server-{number}',
+        service='service',
+        address=fleet.Address('10.0.0.1', number),
+        zone='zone',
+        slots=SLOTS,
+        draining=False,
+        warmup_s=0.0,
+        started_ms=0,
+    )
+
+
+def route(idempotent: bool) -> configuration.Route:
+    """Return the route of all requests."""
+    return configuration.Route(
+        name='route',
+        host='a.example',
+        prefix='/',
+        parts=(configuration.WeightedService('service', 1.0),),
+        idempotent=idempotent,
+        max_servers=MAX_SERVERS,
+        timeout_s=4.0,
+        target_s=TARGET_S,
+        priority=1,
+    )
+
+
+def main() -> None:
+    """Print the shares for a few rates."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument('--seeds', type=int, default=6)
+    parser.add_argument('--seconds', type=float, default=60.0)
+    options = parser.parse_args()
+    logging.disable(logging.CRITICAL)
+    for idempotent, rate in itertools.product((False, True), (60.0, 90.0)):
+        requests = failed = late = 0
+        for seed in range(options.seeds):
+            region = Region(seed=seed, rate=rate, idempotent=idempotent)
+            region.simulation.run(options.seconds)
+            requests += region.requests
+            failed += region.failed
+            late += region.late
+        print(
+            f'{"idempotent" if idempotent else "once":10} {rate:5.0f}/s'
+            f'  failed {failed / requests:.4f}  late {late / requests:.4f}'
+            f'  of {requests} requests'
+        )
+
+
+if __name__ == '__main__':
+    main()
