--- a/measures/gray_placement.py
+++ b/measures/gray_placement.py
@@ -83,8 +83,15 @@
         self.simulation = simulation
         self.running = 0
         self.queue: list[tuple[Call, object]] = []
+        self.error_share = FAILING_ERROR_SHARE
+        self.work_factor = 1.0
+        self.received_s: list[float] = []
+        self.is_failing = False
+
+    def fail_by_turns(self) -> None:
+        """Begin in a random state and change it from time to time."""
         share = FAILING_MEAN_S / (FAILING_MEAN_S + SOUND_MEAN_S)
-        self.is_failing = simulation.rng.random() < share
+        self.is_failing = self.simulation.rng.random() < share
         self.plan_change()
 
     def plan_change(self) -> None:
@@ -101,7 +108,8 @@
     def receive(self, call: Call, ended) -> None:
         """Fail, run, queue or refuse a request."""
         rng = self.simulation.rng
-        if self.is_failing and rng.random() < FAILING_ERROR_SHARE:
+        self.received_s.append(self.simulation.now)
+        if self.is_failing and rng.random() < self.error_share:
             self.simulation.after(HOP_S, ended, call, evidence.Sign.FAILED)
         elif self.running < SLOTS:
             self.start(call, ended)
@@ -116,6 +124,7 @@
         rng = self.simulation.rng
         spread = math.sqrt(math.log(1 + WORK_SPREAD**2))
         work_s = WORK_S * rng.lognormvariate(-(spread**2) / 2, spread)
+        work_s *= self.work_factor
         if rng.random() < LONG_SHARE:
             work_s *= LONG_FACTOR
         self.simulation.after(work_s, self.finish, call, ended)
@@ -204,11 +213,24 @@
 
 
 class Region:
-    """The instances and servers of one service in a region."""
-
-    def __init__(self, *, seed: int, rate: float, idempotent: bool):
+    """The instances and servers of one service in a region.
+
+    Parameters
+    ----------
+    seed : int
+    rate : float
+        Requests each second in the mean.
+    idempotent : bool
+    pooled : bool
+        Instances tell each other what they saw.
+    """
+
+    def __init__(
+        self, *, seed: int, rate: float, idempotent: bool, pooled: bool = True
+    ):
         self.simulation = Simulation(seed)
         self.rate = rate
+        self.pooled = pooled
         self.route = route(idempotent)
         self.requests = self.failed = self.late = 0
         self.servers = [Server(self.simulation) for _ in range(SERVERS)]
@@ -228,7 +250,7 @@
     def deliver(self, sender: Instance, rows) -> None:
         """Give evidence to the other instances."""
         for one in self.instances:
-            if one is not sender:
+            if self.pooled and one is not sender:
                 for row in rows:
                     one.directory.record(row, 'other')
 
@@ -273,6 +295,8 @@
         requests = failed = late = 0
         for seed in range(options.seeds):
             region = Region(seed=seed, rate=rate, idempotent=idempotent)
+            for server in region.servers:
+                server.fail_by_turns()
             region.simulation.run(options.seconds)
             requests += region.requests
             failed += region.failed
