--- a/measures/gray_placement.py
+++ b/measures/gray_placement.py
@@ -12,6 +12,8 @@
 import random
 from typing import NamedTuple
 
+import instance_cost
+
 from citronshelf_common import fleet
 from citronshelf_instance import configuration
 from citronshelf_instance import evidence
@@ -147,7 +149,7 @@
         self.simulation = region.simulation
         self.directory = registrations.Directory(clock=self.simulation.clock)
         for number in range(SERVERS):
-            self.directory.put(registration(number))
+            self.directory.put(instance_cost.entry(number))
         self.directory.index()
         self.placer = placement.Placer(
             directory=self.directory,
@@ -255,20 +257,6 @@
                     one.directory.record(row, 'other')
 
 
-def registration(number: int) -> configuration.Registration:
-    """Return the registration of one server."""
-    return configuration.Registration(
-        server_id=f'server-{number}',
-        service='service',
-        address=fleet.Address('10.0.0.1', number),
-        zone='zone',
-        slots=SLOTS,
-        draining=False,
-        warmup_s=0.0,
-        started_ms=0,
-    )
-
-
 def route(idempotent: bool) -> configuration.Route:
     """Return the route of all requests."""
     return configuration.Route(
