client: tell one request's story from the logs

`citronshelf story ID` reads logs from standard input and shows the lines of a request with what was found out about its servers shortly before.

--- a/libs/citronshelf_client/citronshelf_client/program.py
+++ b/libs/citronshelf_client/citronshelf_client/program.py
@@ -9,16 +9,17 @@
 from citronshelf_client import documents
 from citronshelf_client import explain_command
 from citronshelf_client import status_command
+from citronshelf_client import story_command
 from citronshelf_common import program
 
 ABOUT = (
-    'Check, compare and explain documents, and show which revision is in '
-    'force. Changes nothing.'
+    'Check, compare and explain documents, show which revision is in force, '
+    'and tell what logs say of a request. Changes nothing.'
 )
 EXIT_STATUSES = (
     'exit statuses: 0 done; 1 documents differ, an instance does not have '
-    'the newest revision in force, or no route matches; 2 usage; 4 bad '
-    'document; 6 not reachable'
+    'the newest revision in force, no route matches, or no line names the '
+    'request; 2 usage; 4 bad document; 6 not reachable'
 )
 
 
@@ -42,6 +43,10 @@
     add_document_commands(commands)
     add_status_command(commands)
     add_explain_command(commands)
+    story = commands.add_parser(
+        'story', help='read logs from standard input and show one request'
+    )
+    story.add_argument('request_id', metavar='ID')
     return parser
 
 
@@ -103,6 +108,8 @@
             return status_command.status(
                 arguments.source, as_json=arguments.json
             )
+        case 'story':
+            return story_command.story(arguments.request_id, sys.stdin)
         case _:
             return explain_command.explain(
                 arguments.document,
