--- a/tests/test_worker_groups.py
+++ b/tests/test_worker_groups.py
@@ -35,11 +35,19 @@
         assert first == second != other
 
     def test_processes(self):
-        first = worker_groups.group_of('tests/test_servers.py::TestA::test_b')
-        second = worker_groups.group_of(
-            'platform/tests/test_soak.py::TestA::test_b'
-        )
-        assert first == second
+        groups = [
+            worker_groups.group_of(test)
+            for test in (
+                'tests/test_servers.py::TestA::test_b',
+                'tests/test_path.py::TestA::test_b',
+                'platform/tests/test_soak.py::TestA::test_b',
+                'platform/tests/test_program.py::TestA::test_b',
+                'platform/tests/test_translation.py::TestA::test_b',
+            )
+        ]
+        assert groups[0] == groups[1]
+        assert groups[2] == groups[3]
+        assert len({groups[0], groups[2], groups[4]}) == 3
 
 
 class TestScheduling:
--- a/tests/worker_groups.py
+++ b/tests/worker_groups.py
@@ -2,13 +2,14 @@
 
 from xdist.scheduler import loadscope
 
-# Tests that start fleets of processes and wait for them within bounds of
-# time; they run one after another, beside the others.
-PROCESS_TESTS = (
-    'tests/',
-    'platform/tests/test_program.py',
-    'platform/tests/test_soak.py',
-)
+# Tests that start processes and wait for them within bounds of time. Those of
+# a group run one after another, so that at most one fleet of the entry and
+# control daemons and one of the instance daemon run at a time.
+PROCESS_TESTS = {
+    'tests/': 'entry and control processes',
+    'platform/tests/test_program.py': 'instance processes',
+    'platform/tests/test_soak.py': 'instance processes',
+}
 
 
 def group_of(test: str) -> str:
@@ -16,8 +17,9 @@
 
     Tests of one file may share a fixture, so that they stay together.
     """
-    if test.startswith(PROCESS_TESTS):
-        return 'processes'
+    for place, group in PROCESS_TESTS.items():
+        if test.startswith(place):
+            return group
     return test.split('::')[0]
 
 
