--- a/libs/citronshelf_instance/citronshelf_instance/evidence.py
+++ b/libs/citronshelf_instance/citronshelf_instance/evidence.py
@@ -5,11 +5,12 @@
 from typing import NamedTuple
 
 # Rates of a two-state Markov model of a server, per second: how often a sound
-# server begins to fail, and how often a failing one recovers. On the users'
-# sites episodes last ten seconds in the mean, and three servers in ten are in
-# one at any time (logs of quiet days, docs/proofs.md).
-FAILING_RATE = 0.045
-RECOVERY_RATE = 0.1
+# server begins to fail, and how often a failing one recovers. Episodes on the
+# users' sites last ten seconds in the mean; the belief forgets twice as fast,
+# since sound servers must stay in use while many requests fail (FLOOR in
+# docs/proofs.md).
+FAILING_RATE = 0.03
+RECOVERY_RATE = 0.2
 # Share of the requests that fail in each state, on the same sites.
 FAILING_SHARE = 0.85
 SOUND_SHARE = 0.015
