--- a/libs/citronshelf_client/citronshelf_client/story_command.py
+++ b/libs/citronshelf_client/citronshelf_client/story_command.py
@@ -10,8 +10,8 @@
 from citronshelf_client import showing
 from citronshelf_common import program
 
-# How long before a request the lines of its servers are shown; the mean time
-# for which a server fails (`citronshelf_instance.evidence.RECOVERY_RATE`).
+# How long before a request the lines of its servers are shown; servers fail
+# for ten seconds in the mean (`citronshelf_instance.evidence`).
 BEFORE_S = 10.0
 SERVER_EVENTS = frozenset(
     {
