instance: forget fresh requests that left the budget's window

Cause: the times of fresh requests were dropped only when a repeat was asked for.

Ruled out: the repeats; they are added and dropped in the same call.

--- a/libs/citronshelf_instance/citronshelf_instance/retry_budget.py
+++ b/libs/citronshelf_instance/citronshelf_instance/retry_budget.py
@@ -49,7 +49,9 @@
 
     def record_fresh(self) -> None:
         """Count a new request of a caller."""
-        self.fresh.append(self.clock())
+        now = self.clock()
+        expire(self.fresh, now - self.window_s)
+        self.fresh.append(now)
 
     def take(self, instances: int) -> bool:
         """Spend one repeat if the budget allows it.
--- a/libs/citronshelf_instance/tests/test_retry_budget.py
+++ b/libs/citronshelf_instance/tests/test_retry_budget.py
@@ -42,6 +42,14 @@
             budget.record_fresh()
         assert [budget.take(1) for _ in range(3)] == [True, True, False]
 
+    def test_memory_is_that_of_one_window(self):
+        clock = FakeClock()
+        budget = make_budget(clock)
+        for _ in range(100):
+            budget.record_fresh()
+            clock.now += 1.0
+        assert len(budget.fresh) <= WINDOW_S + 1
+
     def test_restarted_process_has_no_slack_at_first(self):
         clock = FakeClock()
         budget = make_budget(clock, slack_from_s=clock.now + WINDOW_S)
