--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import time
+import traceback
 
 from citronshelf_common import events as log_events
 from citronshelf_common import fleet
@@ -40,6 +41,8 @@
 # Callers that arrive while a process starts wait for its first reading of the
 # store, which takes about a tenth of this.
 FIRST_READING_WAIT_S = 0.5
+# The end of a traceback, with the fault itself, in a log line.
+MAX_TRACE_CHARACTERS = 2000
 # Tables whose changes take a restart.
 FIXED_TABLES = ('instance', 'listen', 'store', 'log')
 
@@ -268,12 +271,12 @@
         try:
             answer, route_name = await self.answer(request)
         except Exception as error:
-            LOG.exception('request %s', request.head.request_id)
+            trace = ''.join(traceback.format_exception(error))
             log_events.log_event(
                 LOG,
                 events.REQUEST_FAULT,
                 request_id=request.head.request_id,
-                reason=repr(error),
+                reason=trace[-MAX_TRACE_CHARACTERS:],
             )
             answer = answers.own(502, 'unknown', 'internal-fault')
             route_name = ''
