--- a/libs/citronshelf_instance/citronshelf_instance/coverage.py
+++ b/libs/citronshelf_instance/citronshelf_instance/coverage.py
@@ -7,9 +7,9 @@
 # a service's sound servers get some. The wanted share is above that; both
 # figures come from the simulation in test_floor_share.py (docs/proofs.md).
 WANTED_SHARE = 0.82
-# A server is in use if a request was sent to it within this time before its
-# outcome was heard. Good ones are told up to a second later; their requests are
-# then within the two seconds.
+# A server is in use if the newest outcome that was heard belongs to a request
+# of this time. Good ones are told up to a second later; their requests are then
+# within the two seconds.
 IN_USE_S = 1.0
 # Over which the dispatches of the region are counted; they are told in lots.
 COUNT_S = 2.0
