Revert "instance: follow the store at a slower pace while no requests come"

The cause that was assumed, calls before the traffic, is not what most calls are made for on these sites.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -293,7 +293,6 @@
             answer = answers.own(503, 'not-run', 'no configuration')
             self.log_end(request, answer, '', '')
             return answer, ''
-        await self.reader.catch_up()
         route = self.state.routes.find(head.host, head.path)
         if route is None:
             refusal = request_head.Refusal(404, 'no such route')
--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -79,12 +79,6 @@
     logging.WARNING,
     'a connection to a server failed; it is left out for a while',
 )
-CATCH_UP_LATE = Event(
-    1921,
-    'catch-up-late',
-    logging.WARNING,
-    'the store was slow after an idle time; requests use the earlier state',
-)
 PEER_FOUND = Event(1930, 'peer-found', logging.INFO, 'an instance joined')
 PEER_LOST = Event(
     1931, 'peer-lost', logging.INFO, 'an instance was not heard of any more'
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -19,13 +19,6 @@
 # 2.5 s that the platform allows; servers that start one after another end one
 # watch for all of each pause.
 PAUSE_AFTER_CHANGE_S = 1.2
-# An instance without requests puts off changes for longer: calls to the store
-# are priced, and while a fleet starts its servers register one after another.
-# Its next request waits until it has caught up, though no longer than a slow
-# answer of the store takes.
-IDLE_AFTER_S = 3.0
-IDLE_PAUSE_S = 6.0
-CATCH_UP_WAIT_S = 0.3
 # A watch may miss a change, and a lost connection shows only when its wait is
 # over. Instances draw different waits, the longer the more instances there
 # are, so that one of them soon finds a missed change and tells the others: the
@@ -104,10 +97,6 @@
         self.lost_s: float | None = None
         self.retry_s = FIRST_RETRY_S
         self.behind = asyncio.Event()
-        self.requested_s = float('-inf')
-        self.resting: asyncio.Event | None = None
-        self.caught_up = asyncio.Event()
-        self.caught_up.set()
         self.calls = 0
 
     async def run(self) -> None:
@@ -133,8 +122,7 @@
     async def watch(self) -> None:
         """Wait for changes once."""
         self.calls += 1
-        # Requests wait for what was put off, so that this call must not.
-        wait_s = 0.0 if self.is_awaited() else self.draw_wait_s()
+        wait_s = self.draw_wait_s()
         watching = asyncio.ensure_future(
             self.store.watch(self.state.revision, wait_s)
         )
@@ -152,51 +140,12 @@
             return
         changed = watching.result()
         if changed.is_error():
-            self.caught_up.set()
             await self.fail(changed.error)
             return
         self.note_answer()
         self.state.apply(changed.ok)
-        self.caught_up.set()
         if changed.ok.registrations or changed.ok.configuration:
-            await self.pause()
-
-    async def pause(self) -> None:
-        """Let further changes gather, longer while no requests come."""
-        if self.clock() - self.requested_s < IDLE_AFTER_S:
             await asyncio.sleep(PAUSE_AFTER_CHANGE_S)
-            return
-        self.resting = asyncio.Event()
-        try:
-            async with asyncio.timeout(IDLE_PAUSE_S):
-                await self.resting.wait()
-        except TimeoutError:
-            pass
-        finally:
-            self.resting = None
-
-    def is_awaited(self) -> bool:
-        """Tell whether requests wait for what was put off."""
-        return not self.caught_up.is_set()
-
-    async def catch_up(self) -> None:
-        """Begin a request: wait for changes that were put off, if any."""
-        self.requested_s = self.clock()
-        if self.resting is not None:
-            self.caught_up.clear()
-            self.resting.set()
-        if not self.is_awaited():
-            return
-        try:
-            async with asyncio.timeout(CATCH_UP_WAIT_S):
-                await self.caught_up.wait()
-        except TimeoutError:
-            log_events.log_event(
-                LOG,
-                events.CATCH_UP_LATE,
-                revision=self.state.revision,
-                waited_s=CATCH_UP_WAIT_S,
-            )
 
     def draw_wait_s(self) -> float:
         """Return how long the next watch waits for a change."""
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -48,12 +48,7 @@
 
 @pytest.fixture(autouse=True)
 def short_pauses(monkeypatch):
-    for name in (
-        'PAUSE_AFTER_CHANGE_S',
-        'IDLE_PAUSE_S',
-        'FIRST_RETRY_S',
-        'BEHIND_S',
-    ):
+    for name in ('PAUSE_AFTER_CHANGE_S', 'FIRST_RETRY_S', 'BEHIND_S'):
         monkeypatch.setattr(store_reader, name, 0.01)
 
 
@@ -166,86 +161,6 @@
         assert rates[105] < rates[36] * 105 / 36
 
 
-class TestIdle:
-    """Without requests changes are put off; the next one catches up."""
-
-    def follow(self, clock, monkeypatch, *, act, answers=True):
-        """Run a reader that rests after its first change."""
-        monkeypatch.setattr(store_reader, 'IDLE_PAUSE_S', 30.0)
-        change = configuration.Changes(5, None, {'s2': None})
-        late = configuration.Changes(6, None, {'s1': None})
-        watches = [Ok(change), Ok(late)] if answers else [Ok(change)]
-        store = ScriptedStore([snapshot(3, make_registration('s1'))], watches)
-
-        async def run():
-            state = published.PublishedState(
-                directory=registrations.Directory(clock=clock),
-                clock=clock,
-                rng=random.Random(1),
-            )
-            reader = store_reader.StoreReader(
-                store=store,
-                state=state,
-                ask_peers=lambda: None,
-                instances=lambda: 3,
-                clock=clock,
-                rng=random.Random(1),
-            )
-            task = asyncio.create_task(reader.run())
-            await asyncio.sleep(0.05)
-            result = await act(reader, store)
-            task.cancel()
-            return result
-
-        return asyncio.run(run())
-
-    def test_further_changes_are_put_off(self, clock, monkeypatch):
-        async def act(reader, store):
-            await asyncio.sleep(0.1)
-            return store.watched
-
-        assert self.follow(clock, monkeypatch, act=act) == [3]
-
-    def test_request_waits_for_them(self, clock, monkeypatch):
-        async def act(reader, store):
-            await reader.catch_up()
-            return list(reader.state.directory.servers), store.waits
-
-        servers, waits = self.follow(clock, monkeypatch, act=act)
-        assert servers == []
-        assert waits[1] == 0.0
-
-    def test_later_requests_do_not_wait(self, clock, monkeypatch):
-        async def act(reader, store):
-            await reader.catch_up()
-            calls = reader.calls
-            for _ in range(10):
-                await reader.catch_up()
-            return reader.calls - calls
-
-        assert self.follow(clock, monkeypatch, act=act) <= 1
-
-    def test_request_does_not_wait_long(self, clock, monkeypatch):
-        async def act(reader, store):
-            began_s = asyncio.get_running_loop().time()
-            await reader.catch_up()
-            return asyncio.get_running_loop().time() - began_s
-
-        took_s = self.follow(clock, monkeypatch, act=act, answers=False)
-        assert took_s < 2 * store_reader.CATCH_UP_WAIT_S
-
-    def test_busy_instance_rests_briefly(self, clock, monkeypatch):
-        async def act(reader, store):
-            reader.requested_s = clock()
-            change = configuration.Changes(7, None, {'s3': None})
-            store.watches += [Ok(change), Ok(change)]
-            await reader.catch_up()
-            await asyncio.sleep(0.1)
-            return len(store.watched)
-
-        assert self.follow(clock, monkeypatch, act=act) >= 4
-
-
 class TestOutage:
     """Registrations may lapse while the store is away."""
 
