--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(VENV)/bin/flake8 libs platform tests measures
 
 test: setup
-	$(VENV)/bin/python -m pytest -n 2 --dist loadscope libs platform tests
+	$(VENV)/bin/python -m pytest -n 3 --dist loadscope libs platform tests
 
 failures: setup
 	$(VENV)/bin/python -m pytest tests -s
