--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -163,17 +163,21 @@
         assert asyncio.run(run()) == [6] * 6
 
 
+async def fleet_after(clock, sign, slowness=0.0):
+    """Return a fleet a moment after one instance saw a sign."""
+    group = Fleet(clock)
+    await group.step(rounds=3)
+    group.instances[1].observe(evidence.Observation('s1', sign, slowness))
+    await asyncio.sleep(2 * peers.URGENT_DELAY_S)
+    return group
+
+
 class TestEvidence:
     """Signs reach the instances of the region."""
 
     def test_failure_is_told_at_once(self, clock):
         async def run():
-            group = Fleet(clock)
-            await group.step(rounds=3)
-            group.instances[1].observe(
-                evidence.Observation('s1', evidence.Sign.FAILED, 0.0)
-            )
-            await asyncio.sleep(2 * peers.URGENT_DELAY_S)
+            group = await fleet_after(clock, evidence.Sign.FAILED)
             return [failing(one) for one in group.instances]
 
         beliefs = asyncio.run(run())
@@ -203,12 +207,7 @@
 
     def test_slow_answer_is_told_at_once(self, clock):
         async def run():
-            group = Fleet(clock)
-            await group.step(rounds=3)
-            group.instances[1].observe(
-                evidence.Observation('s1', evidence.Sign.GOOD, 5.0)
-            )
-            await asyncio.sleep(2 * peers.URGENT_DELAY_S)
+            group = await fleet_after(clock, evidence.Sign.GOOD, 5.0)
             servers = group.instances[2].state.directory.servers
             return servers['s1'].evidence.slowness
 
@@ -257,12 +256,7 @@
 
     def test_shed_request_leaves_the_server_out_everywhere(self, clock):
         async def run():
-            group = Fleet(clock)
-            await group.step(rounds=3)
-            group.instances[1].observe(
-                evidence.Observation('s1', evidence.Sign.SHED, 0.0)
-            )
-            await asyncio.sleep(2 * peers.URGENT_DELAY_S)
+            group = await fleet_after(clock, evidence.Sign.SHED)
             servers = group.instances[2].state.directory.servers
             return servers['s1'].blocked_until - clock.now
 
