--- a/libs/citronshelf_instance/citronshelf_instance/coverage.py
+++ b/libs/citronshelf_instance/citronshelf_instance/coverage.py
@@ -8,8 +8,8 @@
 # figures come from the simulation in test_floor_share.py (docs/proofs.md).
 WANTED_SHARE = 0.82
 # A server is in use if the newest outcome that was heard belongs to a request
-# of this time. Good ones are told up to a second later; their requests are then
-# within the two seconds.
+# of this time. Good ones are told up to a second later; their requests are
+# then within the two seconds.
 IN_USE_S = 1.0
 # Over which the dispatches of the region are counted; they are told in lots.
 COUNT_S = 2.0
