instance: ask a store that was away without waiting

The store was silent from 18 to 26 s. Ruled out: a pause after a change (no change was read), a late reading of the new version (nothing was read at all). Before: TestReturn fails, the next watch waits 2 to 12 s. After: it passes.

--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -122,7 +122,9 @@
     async def watch(self) -> None:
         """Wait for changes once."""
         self.calls += 1
-        wait_s = self.draw_wait_s()
+        # A store that was away answers at once if it is back; a call that
+        # waited for changes might hang past its return.
+        wait_s = self.draw_wait_s() if self.answers else 0.0
         watching = asyncio.ensure_future(
             self.store.watch(self.state.revision, wait_s)
         )
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -132,6 +132,18 @@
         assert len(asked) == before + 1
 
 
+class TestReturn:
+    """The end of an outage is found soon, also without news of others."""
+
+    def test_store_that_was_away_is_asked_without_waiting(self, clock):
+        """A call that waits for changes may hang past the store's return."""
+        nothing = configuration.Changes(3, None, {})
+        store = ScriptedStore([snapshot(3)], [Error(LOST), Ok(nothing)])
+        read_with(store, clock)
+        assert store.waits[1] == 0.0
+        assert store.waits[2] >= store_reader.MIN_WATCH_S
+
+
 class TestWaits:
     """A change that every watch missed is found soon in any fleet.
 
