--- a/libs/citronshelf_instance/citronshelf_instance/coverage.py
+++ b/libs/citronshelf_instance/citronshelf_instance/coverage.py
@@ -5,7 +5,7 @@
 
 # The users' rule (FLOOR): over two seconds in which many requests fail, 0.7 of
 # a service's sound servers get some. The wanted share is above that; both
-# figures come from the simulation in test_floor_share.py (docs/proofs.md).
+# figures come from the simulation measures/floor_share.py (docs/proofs.md).
 WANTED_SHARE = 0.82
 # A server is in use if the newest outcome that was heard belongs to a request
 # of this time. Good ones are told up to a second later; their requests are
--- a/libs/citronshelf_instance/citronshelf_instance/placement.py
+++ b/libs/citronshelf_instance/citronshelf_instance/placement.py
@@ -169,6 +169,7 @@
             if self.is_near(candidate.server)
         }
         ended = self.directory.dispatches_of(service)
+        # Weighing the candidates brought their beliefs up to now.
         server = coverage.choose_test(list(near), ended, now, self.rng)
         return near.get(server)
 
--- a/measures/gray_placement.py
+++ b/measures/gray_placement.py
@@ -40,6 +40,8 @@
 WAVE_PERIOD_S = 15.0
 HOP_S = 0.002
 MAX_SERVERS = 2
+# Requests each second that are measured.
+RATES = (30.0, 60.0, 90.0)
 
 
 class Call(NamedTuple):
@@ -235,7 +237,7 @@
         self.rate = rate
         self.pooled = pooled
         self.route = route(idempotent)
-        self.requests = self.failed = self.late = 0
+        self.requests = self.failed = self.late = self.messages = 0
         self.servers = [Server(self.simulation) for _ in range(SERVERS)]
         self.instances = [Instance(self) for _ in range(INSTANCES)]
         self.arrive()
@@ -252,6 +254,7 @@
 
     def deliver(self, sender: Instance, rows) -> None:
         """Give evidence to the other instances."""
+        self.messages += 1
         for one in self.instances:
             if self.pooled and one is not sender:
                 for row in rows:
@@ -274,14 +277,14 @@
 
 
 def main() -> None:
-    """Print the shares for a few rates."""
+    """Print the shares for a few rates, and messages to each instance."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument('--seeds', type=int, default=6)
     parser.add_argument('--seconds', type=float, default=60.0)
     options = parser.parse_args()
     logging.disable(logging.CRITICAL)
-    for idempotent, rate in itertools.product((False, True), (60.0, 90.0)):
-        requests = failed = late = 0
+    for idempotent, rate in itertools.product((False, True), RATES):
+        requests = failed = late = messages = 0
         for seed in range(options.seeds):
             region = Region(seed=seed, rate=rate, idempotent=idempotent)
             for server in region.servers:
@@ -290,9 +293,11 @@
             requests += region.requests
             failed += region.failed
             late += region.late
+            messages += region.messages
         print(
             f'{"idempotent" if idempotent else "once":10} {rate:5.0f}/s'
             f'  failed {failed / requests:.4f}  late {late / requests:.4f}'
+            f'  messages {messages / requests:.2f}'
             f'  of {requests} requests'
         )
 
