instance: six readers of the store in a large region report to the others

Cause: every instance watches the store, so each change ends the watches of all instances, and each of them calls again.

Change: in a region of 24 or more instances the six with the smallest hashes of their names watch the store. After each change, and once a second, they send the region a report: a range of revisions and the registrations that changed in it. An instance that hears reports applies them and calls the store only if a range does not continue its own, when the configuration changed, and every 15 to 45 s. It watches the store itself when it hears no report for 2 s, or after a call of its own has failed. A reader whose store is away reports nothing. Reports name the end of an outage, so that entries that lapsed are kept as before. Smaller regions work as before.

Nothing is elected or agreed: instances that choose other readers only make more calls.

--- a/libs/citronshelf_instance/citronshelf_instance/configuration.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration.py
@@ -147,3 +147,21 @@
     revision: int
     configuration: Configuration | None
     registrations: Mapping[str, Registration | None]
+
+
+class RegistrationDelta(NamedTuple):
+    """Changed registrations in a range of revisions without other changes.
+
+    Attributes
+    ----------
+    after : int
+        The delta holds all changes after this revision.
+    revision : int
+        The delta holds all changes up to this revision.
+    registrations : dict of str to Registration or None
+        Keyed by server id; None for a removed or unreadable entry.
+    """
+
+    after: int
+    revision: int
+    registrations: dict[str, Registration | None]
--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -26,6 +26,7 @@
 from citronshelf_instance import peers
 from citronshelf_instance import placement
 from citronshelf_instance import published
+from citronshelf_instance import reader_group
 from citronshelf_instance import registrations
 from citronshelf_instance import settings
 from citronshelf_instance import shutdown
@@ -91,6 +92,9 @@
         self.members = membership.Membership(
             own=self.own, clock=clock, rng=self.rng
         )
+        self.readers = reader_group.ReaderGroup(
+            members=self.members, clock=clock
+        )
         self.links = links.ZmqLinks(address=self.own.address, keys=None)
         self.peers = peers.Peers(
             own=self.own,
@@ -98,6 +102,7 @@
             links=self.links,
             state=self.state,
             members=self.members,
+            readers=self.readers,
             clock=clock,
             rng=self.rng,
         )
@@ -107,12 +112,14 @@
             ),
             state=self.state,
             fetch_from_peers=self.peers.fetch_state,
-            instances=self.members.count,
+            group=self.readers,
+            send_report=self.peers.send_report,
             clock=clock,
             rng=self.rng,
         )
         self.state.on_change = self.peers.announce_change
         self.peers.on_peer_revision = self.reader.handle_peer_revision
+        self.peers.is_store_current = self.reader.is_current
         self.forwarder = self.make_forwarder(clock)
         self.server = self.make_server()
         self.add_gauges(log_output)
--- a/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
@@ -103,6 +103,30 @@
     snapshot: configuration.Snapshot
 
 
+class ReaderReport(NamedTuple):
+    """Reports what a reader of the store knows to its region.
+
+    Sent at short intervals and after each change.
+
+    Attributes
+    ----------
+    sender : Member
+    revision : int
+        Revision of the newest published change that the sender knows.
+    recovered_ago_s : float or None
+        Seconds since the store was reachable again after an outage, while
+        lapsed entries may still return; None otherwise.
+    delta : RegistrationDelta
+        Without registrations if nothing changed. An instance that lacks
+        changes before it must read them from the store.
+    """
+
+    sender: Member
+    revision: Revision
+    recovered_ago_s: AgeS | None
+    delta: configuration.RegistrationDelta
+
+
 class Leave(NamedTuple):
     """Announces that the sender stops."""
 
@@ -110,5 +134,13 @@
 
 
 CODEC = wire.Codec(
-    messages=(Join, Heartbeat, Evidence, FetchState, StateCopy, Leave)
+    messages=(
+        Join,
+        Heartbeat,
+        Evidence,
+        FetchState,
+        StateCopy,
+        Leave,
+        ReaderReport,
+    )
 )
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -6,15 +6,18 @@
 
 from citronshelf_common import events as log_events
 from citronshelf_common import fleet
+from citronshelf_instance import configuration
 from citronshelf_instance import events
 from citronshelf_instance import evidence
 from citronshelf_instance import membership
 from citronshelf_instance import peer_messages
 from citronshelf_instance import published
+from citronshelf_instance import reader_group
 
 LOG = logging.getLogger(__name__)
 
 MEMBERSHIP_INTERVAL_S = 0.5
+MAX_MEMBERSHIP_DELAY_S = 1.2 * MEMBERSHIP_INTERVAL_S
 HEARTBEAT_INTERVAL_S = 2.0
 HEARTBEAT_PEERS = 2
 HEARTBEAT_MEMBERS = 6
@@ -51,6 +54,7 @@
     links : ZmqLinks
     state : PublishedState
     members : Membership
+    readers : ReaderGroup
     clock : callable
         Monotonic seconds.
     rng : random.Random
@@ -64,6 +68,7 @@
         links,
         state: published.PublishedState,
         members: membership.Membership,
+        readers: reader_group.ReaderGroup,
         clock,
         rng: random.Random,
     ):
@@ -72,14 +77,17 @@
         self.links = links
         self.state = state
         self.members = members
+        self.readers = readers
         self.clock = clock
         self.rng = rng
         self.pending: list[evidence.Observation] = []
         self.flush_timer: asyncio.TimerHandle | None = None
         self.next_heartbeat_s = 0.0
         self.next_remote_heartbeat_s = 0.0
+        self.next_report_s = 0.0
         self.last_fetch_s = float('-inf')
         self.on_peer_revision = lambda revision: None
+        self.is_store_current = lambda: False
         links.on_message = self.receive
 
     def set_seeds(self, seeds: list[fleet.Address]) -> None:
@@ -96,6 +104,8 @@
             if now >= self.next_heartbeat_s:
                 self.next_heartbeat_s = now + HEARTBEAT_INTERVAL_S
                 self.send_heartbeats()
+            if now >= self.next_report_s:
+                self.send_report()
             await asyncio.sleep(
                 MEMBERSHIP_INTERVAL_S * self.rng.uniform(0.8, 1.2)
             )
@@ -165,6 +175,32 @@
         for peer in chosen:
             self.send(peer.member.address, message)
 
+    def send_report(
+        self, delta: configuration.RegistrationDelta | None = None
+    ) -> None:
+        """Report to the region if this instance reads the store for it.
+
+        Sends nothing while the store does not respond, so that the others
+        watch it themselves.
+        """
+        if not (self.readers.is_sharing() and self.readers.is_reader()):
+            return
+        if not self.is_store_current():
+            return
+        self.next_report_s = (
+            self.clock()
+            + reader_group.REPORT_INTERVAL_S
+            - MAX_MEMBERSHIP_DELAY_S
+        )
+        message = peer_messages.ReaderReport(
+            self.own,
+            self.state.change_revision,
+            self.state.directory.recovered_ago_s(),
+            delta or self.state.empty_delta(),
+        )
+        for peer in self.members.in_region():
+            self.send(peer.member.address, message)
+
     def make_heartbeat(self, members: int) -> peer_messages.Heartbeat:
         """Return a heartbeat with a sample of at most ``members`` members."""
         return peer_messages.Heartbeat(
@@ -221,11 +257,21 @@
                         observation, message.sender.instance
                     )
                 self.on_peer_revision(message.revision)
+            case peer_messages.ReaderReport():
+                self.handle_report(message)
             case peer_messages.FetchState():
                 self.send_state(message)
             case peer_messages.StateCopy():
                 self.apply_state_copy(message)
 
+    def handle_report(self, message: peer_messages.ReaderReport) -> None:
+        """Apply the report of a reader of this region."""
+        self.readers.record_report()
+        if message.recovered_ago_s is not None:
+            self.state.directory.record_store_recovery(message.recovered_ago_s)
+        self.state.apply_delta(message.delta)
+        self.on_peer_revision(max(message.revision, message.delta.after))
+
     def send_state(self, message: peer_messages.FetchState) -> None:
         """Reply with the published state if the requester's is older.
 
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -34,6 +34,8 @@
     change_revision : int
         Revision of the newest change that a watch returned, or of the
         configuration in force if that is newer.
+    unchanged_since : int
+        No change is known after this revision and up to ``revision``.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         self.rng = rng
         self.revision = 0
         self.change_revision = 0
+        self.unchanged_since = 0
         self.configuration: configuration.Configuration | None = None
         self.routes: routing.RouteTable | None = None
         self.limits = configuration.CallerLimits()
@@ -60,7 +63,7 @@
         """Replace the state with a snapshot unless the snapshot is older."""
         if snapshot.revision < self.revision:
             return
-        self.revision = snapshot.revision
+        self.revision = self.unchanged_since = snapshot.revision
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration, source)
         self.directory.replace(snapshot)
@@ -79,10 +82,35 @@
             self.directory.apply(changes)
         if changes.configuration or changes.registrations:
             self.change_revision = changes.revision
+            self.unchanged_since = changes.revision
             self.on_change()
         if self.is_routable():
             self.routable.set()
 
+    def apply_delta(self, delta: configuration.RegistrationDelta) -> bool:
+        """Apply changes that another instance read.
+
+        Returns False, without a change, if they are known already or changes
+        before them are missing.
+        """
+        if not delta.after <= self.revision < delta.revision:
+            return False
+        self.revision = delta.revision
+        if delta.registrations:
+            self.change_revision = self.unchanged_since = delta.revision
+            self.directory.apply(
+                configuration.Changes(
+                    delta.revision, None, delta.registrations
+                )
+            )
+        return True
+
+    def empty_delta(self) -> configuration.RegistrationDelta:
+        """Return the range of revisions in which nothing changed."""
+        return configuration.RegistrationDelta(
+            self.unchanged_since, self.revision, {}
+        )
+
     def apply_configuration(
         self, published: configuration.Configuration, source: str
     ) -> None:
--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -126,9 +126,25 @@
         self.store_recovered_s = float('-inf')
         self.dispatches: dict[str, coverage.RecentDispatches] = {}
 
-    def record_store_recovery(self) -> None:
-        """Start the grace period for entries that lapsed in an outage."""
-        self.store_recovered_s = self.clock()
+    def record_store_recovery(self, ago_s: float = 0.0) -> None:
+        """Start the grace period for entries that lapsed in an outage.
+
+        Parameters
+        ----------
+        ago_s : float
+            Seconds since the end of the outage.
+        """
+        self.store_recovered_s = max(
+            self.store_recovered_s, self.clock() - ago_s
+        )
+
+    def recovered_ago_s(self) -> float | None:
+        """Return the seconds since the end of an outage of the store.
+
+        None if the grace period for lapsed entries is over.
+        """
+        ago_s = self.clock() - self.store_recovered_s
+        return ago_s if ago_s < LAPSED_GRACE_S else None
 
     def replace(self, snapshot: configuration.Snapshot) -> None:
         """Replace all entries with those of a snapshot.
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -10,8 +10,10 @@
 from expression import Result
 
 from citronshelf_common import events as log_events
+from citronshelf_instance import configuration
 from citronshelf_instance import events
 from citronshelf_instance import published
+from citronshelf_instance import reader_group
 
 LOG = logging.getLogger(__name__)
 
@@ -33,6 +35,13 @@
 # A watch is restarted if it has not returned a revision that another instance
 # knows within one to two times this delay.
 OUTDATED_DELAY_S = 0.2
+# An instance that follows readers reads the store itself about this often, so
+# that readers that miss a change without noticing are found soon in any fleet.
+POLL_INTERVAL_S = 30.0
+# Time between two looks at what readers reported.
+FOLLOW_INTERVAL_S = 0.2
+# Changes of more registrations are read from the store by every instance.
+MAX_DELTA_REGISTRATIONS = 64
 # Registrations may have lapsed in an outage of at least this length.
 MIN_LAPSE_OUTAGE_S = 1.0
 
@@ -74,8 +83,10 @@
     state : PublishedState
     fetch_from_peers : callable
         Requests the published state from another instance.
-    instances : callable
-        Returns the number of instances, this one included.
+    group : ReaderGroup
+    send_report : callable
+        Called after a change with a ``RegistrationDelta`` for the region, or
+        with None if the others must read the change from the store.
     clock : callable
         Monotonic seconds.
     rng : random.Random
@@ -87,14 +98,16 @@
         store: Store,
         state: published.PublishedState,
         fetch_from_peers,
-        instances,
+        group: reader_group.ReaderGroup,
+        send_report,
         clock,
         rng: random.Random,
     ):
         self.store = store
         self.state = state
         self.fetch_from_peers = fetch_from_peers
-        self.instances = instances
+        self.group = group
+        self.send_report = send_report
         self.clock = clock
         self.rng = rng
         self.is_reachable = True
@@ -102,15 +115,18 @@
         self.unreachable_since_s: float | None = None
         self.retry_delay_s = INITIAL_RETRY_DELAY_S
         self.outdated = asyncio.Event()
+        self.peer_revision = 0
         self.calls = 0
 
     async def run(self) -> None:
-        """Read and watch the store until cancelled."""
+        """Follow the store, or readers of it, until cancelled."""
         while True:
-            if self.is_synced:
-                await self.watch()
-            else:
+            if not self.is_synced:
                 await self.read_all()
+            else:
+                if self.is_reachable:
+                    await self.follow_readers()
+                await self.watch()
             self.state.directory.drop_lapsed()
 
     async def read_all(self) -> None:
@@ -123,6 +139,26 @@
         self.record_response()
         self.state.replace(read.ok, source='store')
         self.is_synced = True
+        self.send_report(None)
+
+    async def follow_readers(self) -> None:
+        """Wait while readers of the region report all changes.
+
+        Returns when the next call to the store is due: at once if no reader
+        reports, when a change was not reported in time, or to poll.
+        """
+        poll_at_s = self.clock() + POLL_INTERVAL_S * self.rng.uniform(0.5, 1.5)
+        while self.group.is_covered() and self.clock() < poll_at_s:
+            if self.is_behind():
+                await asyncio.sleep(OUTDATED_DELAY_S * self.rng.uniform(1, 2))
+                if self.is_behind():
+                    return
+            self.state.directory.drop_lapsed()
+            await asyncio.sleep(FOLLOW_INTERVAL_S)
+
+    def is_behind(self) -> bool:
+        """Return whether another instance knows a newer change."""
+        return self.peer_revision > self.state.revision
 
     async def watch(self) -> None:
         """Wait for changes once and apply them.
@@ -133,11 +169,11 @@
         self.calls += 1
         # After an outage the store is polled without a wait: it responds at
         # once when it is back, but a call that waits for changes might hang
-        # past its recovery.
-        wait_s = self.draw_wait_s() if self.is_reachable else 0.0
-        watching = asyncio.ensure_future(
-            self.store.watch(self.state.revision, wait_s)
-        )
+        # past its recovery. An instance that follows readers only catches up.
+        may_wait = self.is_reachable and not self.group.is_covered()
+        wait_s = self.draw_wait_s() if may_wait else 0.0
+        after = self.state.revision
+        watching = asyncio.ensure_future(self.store.watch(after, wait_s))
         outdated = asyncio.ensure_future(self.wait_outdated())
         try:
             await asyncio.wait(
@@ -155,14 +191,17 @@
             await self.handle_fault(changed.error)
             return
         self.record_response()
+        after = min(after, self.state.unchanged_since)
         self.state.apply(changed.ok)
         if changed.ok.registrations or changed.ok.configuration:
+            self.send_report(make_delta(after, changed.ok))
             await asyncio.sleep(PAUSE_AFTER_CHANGE_S)
 
     def draw_wait_s(self) -> float:
         """Return a random wait in seconds for the next watch."""
         longest_s = (
-            MIN_WATCH_WAIT_S + WATCH_WAIT_PER_INSTANCE_S * self.instances()
+            MIN_WATCH_WAIT_S
+            + WATCH_WAIT_PER_INSTANCE_S * self.group.count_watching()
         )
         return self.rng.uniform(
             MIN_WATCH_WAIT_S, min(longest_s, MAX_WATCH_WAIT_S)
@@ -185,6 +224,7 @@
         """
         if revision <= self.state.revision:
             return
+        self.peer_revision = max(self.peer_revision, revision)
         if self.is_reachable:
             self.outdated.set()
         else:
@@ -241,3 +281,24 @@
         self.fetch_from_peers()
         await asyncio.sleep(self.retry_delay_s * self.rng.uniform(0.5, 1.0))
         self.retry_delay_s = min(2 * self.retry_delay_s, MAX_RETRY_DELAY_S)
+
+    def is_current(self) -> bool:
+        """Return whether the last call to the store succeeded."""
+        return self.is_synced and self.is_reachable
+
+
+def make_delta(
+    after: int, changes: configuration.Changes
+) -> configuration.RegistrationDelta | None:
+    """Return changes for instances that do not read the store.
+
+    None if there are too many, or if the configuration changed.
+    """
+    if (
+        changes.configuration is not None
+        or len(changes.registrations) > MAX_DELTA_REGISTRATIONS
+    ):
+        return None
+    return configuration.RegistrationDelta(
+        after, changes.revision, dict(changes.registrations)
+    )
--- a/libs/citronshelf_instance/tests/test_published.py
+++ b/libs/citronshelf_instance/tests/test_published.py
@@ -49,6 +49,43 @@
             highest = max(highest, revision)
             assert state.revision == highest
 
+    @given(
+        st.lists(
+            st.tuples(st.integers(1, 12), st.integers(1, 12), st.booleans()),
+            max_size=30,
+        )
+    )
+    def test_deltas_in_any_order_give_the_state_of_their_revision(
+        self, arrivals
+    ):
+        """Every revision registers one server; deltas may be lost."""
+
+        def entries(after, revision):
+            return {
+                f's{n}': make_registration(f's{n}')
+                for n in range(after + 1, revision + 1)
+            }
+
+        state = make_state()
+        for one, other, is_read in arrivals:
+            after, revision = min(one, other), max(one, other)
+            if is_read and after <= state.revision:
+                state.apply(
+                    configuration.Changes(
+                        revision, None, entries(state.revision, revision)
+                    )
+                )
+            else:
+                state.apply_delta(
+                    configuration.RegistrationDelta(
+                        after, revision, entries(after, revision)
+                    )
+                )
+            assert set(state.directory.servers) == set(
+                entries(0, state.revision)
+            )
+            assert state.unchanged_since <= state.revision
+
     def test_unreadable_configuration_keeps_the_current_one(self):
         state = make_state()
         good = configuration.Snapshot(1, make_configuration(revision=1), ())
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -56,15 +56,30 @@
         'PAUSE_AFTER_CHANGE_S',
         'INITIAL_RETRY_DELAY_S',
         'OUTDATED_DELAY_S',
+        'FOLLOW_INTERVAL_S',
     ):
         monkeypatch.setattr(store_reader, name, 0.01)
 
 
-def read_with(store, clock, act=None):
+class FixedGroup:
+    """Stands in for ``ReaderGroup`` with fixed answers."""
+
+    def __init__(self, covered=False):
+        self.covered = covered
+        self.watching = 3
+
+    def is_covered(self):
+        return self.covered
+
+    def count_watching(self):
+        return self.watching
+
+
+def read_with(store, clock, act=None, covered=False):
     """Run a reader for a short time; return it and its fetches from peers.
 
     After 0.1 s, ``act`` is called with the reader, which then runs as long
-    again.
+    again. What it would report to its region is in ``reports``.
     """
 
     async def run():
@@ -78,10 +93,12 @@
             store=store,
             state=state,
             fetch_from_peers=lambda: fetches.append(1),
-            instances=lambda: 3,
+            group=FixedGroup(covered),
+            send_report=lambda delta: reader.reports.append(delta),
             clock=clock,
             rng=random.Random(1),
         )
+        reader.reports = []
         task = asyncio.create_task(reader.run())
         await asyncio.sleep(0.1)
         if act is not None:
@@ -146,6 +163,114 @@
         assert len(fetches) == before + 1
 
 
+class TestFollowing:
+    """An instance that follows readers calls the store only if it must."""
+
+    def registered(self, after, revision):
+        entries = {'s2': make_registration('s2')}
+        return configuration.RegistrationDelta(after, revision, entries)
+
+    def test_reported_changes_need_no_call(self, clock):
+        def report(reader):
+            assert reader.state.apply_delta(self.registered(3, 4))
+            reader.handle_peer_revision(4)
+
+        store = ScriptedStore([snapshot(3)])
+        reader, _ = read_with(store, clock, report, covered=True)
+        assert store.watched == []
+        assert 's2' in reader.state.directory.servers
+
+    def test_delta_after_the_announcement_is_awaited(self, clock):
+        def announce(reader):
+            reader.handle_peer_revision(4)
+            assert reader.state.apply_delta(self.registered(3, 4))
+
+        store = ScriptedStore([snapshot(3)])
+        read_with(store, clock, announce, covered=True)
+        assert store.watched == []
+
+    def test_unreported_change_is_read_without_a_wait(self, clock):
+        change = configuration.Changes(5, None, {'s2': None})
+        store = ScriptedStore([snapshot(3)], [Ok(change)])
+        reader, _ = read_with(
+            store, clock, lambda r: r.handle_peer_revision(5), covered=True
+        )
+        assert store.watched == [3]
+        assert store.waits == [0.0]
+        assert reader.state.revision == 5
+
+    def test_store_is_watched_when_reports_end(self, clock):
+        def end_reports(reader):
+            assert store.watched == []
+            reader.group.covered = False
+
+        store = ScriptedStore([snapshot(3)])
+        read_with(store, clock, end_reports, covered=True)
+        assert store.watched == [3]
+        assert store.waits[0] >= store_reader.MIN_WATCH_WAIT_S
+
+    def test_store_is_polled_at_long_intervals(self, clock):
+        store = ScriptedStore([snapshot(3)])
+        read_with(
+            store,
+            clock,
+            lambda r: clock.advance(1.5 * store_reader.POLL_INTERVAL_S),
+            covered=True,
+        )
+        assert store.waits == [0.0]
+
+    def test_own_outage_is_not_left_to_readers(self, clock):
+        store = ScriptedStore([snapshot(3)], [Error(UNREACHABLE)])
+        reader, _ = read_with(
+            store, clock, lambda r: r.handle_peer_revision(5), covered=True
+        )
+        assert not reader.is_reachable
+        assert store.watched == [3, 3]
+
+    def test_lapsed_entries_are_dropped(self, clock):
+        def lapse(reader):
+            directory = reader.state.directory
+            directory.record_store_recovery()
+            gone = configuration.RegistrationDelta(3, 4, {'s1': None})
+            assert reader.state.apply_delta(gone)
+            assert 's1' in directory.servers
+            clock.advance(registrations.LAPSED_GRACE_S)
+
+        store = ScriptedStore([snapshot(3, make_registration('s1'))])
+        reader, _ = read_with(store, clock, lapse, covered=True)
+        assert reader.state.directory.servers == {}
+
+
+class TestReports:
+    """Changes are passed on for instances that do not read the store."""
+
+    def test_registrations_are_reported(self, clock):
+        changes = [
+            configuration.Changes(5, None, {'s2': None}),
+            configuration.Changes(6, None, {}),
+            configuration.Changes(8, None, {'s3': None}),
+        ]
+        store = ScriptedStore([snapshot(3)], [Ok(c) for c in changes])
+        reader, _ = read_with(store, clock)
+        assert reader.reports[1:] == [
+            configuration.RegistrationDelta(3, 5, {'s2': None}),
+            configuration.RegistrationDelta(5, 8, {'s3': None}),
+        ]
+
+    def test_configuration_is_not_reported(self, clock):
+        change = configuration.Changes(5, make_configuration(revision=5), {})
+        store = ScriptedStore([snapshot(3)], [Ok(change)])
+        reader, _ = read_with(store, clock)
+        assert reader.reports == [None, None]
+
+    def test_many_registrations_are_not_reported(self, clock):
+        many = range(store_reader.MAX_DELTA_REGISTRATIONS + 1)
+        change = configuration.Changes(5, None, {f's{n}': None for n in many})
+        store = ScriptedStore([snapshot(3)], [Ok(change)])
+        reader, _ = read_with(store, clock)
+        assert reader.reports == [None, None]
+
+
 class TestRecovery:
     """The end of an outage is detected soon, even without peers."""
 
@@ -169,7 +294,7 @@
     @pytest.mark.parametrize('instances', [1, 3, 10, 36, 105, 6400])
     def test_first_wait_in_a_fleet_is_short(self, clock, instances):
         reader, _ = read_with(ScriptedStore(), clock)
-        reader.instances = lambda: instances
+        reader.group.watching = instances
         firsts = [
             min(reader.draw_wait_s() for _ in range(instances))
             for _ in range(max(1, 2000 // instances))
@@ -181,7 +306,7 @@
         reader, _ = read_with(ScriptedStore(), clock)
         rates = {}
         for instances in (3, 36, 105):
-            reader.instances = lambda: instances
+            reader.group.watching = instances
             waits = [reader.draw_wait_s() for _ in range(2000)]
             rates[instances] = instances / (sum(waits) / len(waits))
         assert rates[36] < rates[3] * 36 / 3
