client: story counts odd JSON lines instead of ending with a traceback

Cause: a line with deep nesting raised RecursionError, and one whose event_name or server is no text could not be looked up in a set. Such lines are no log lines; they are counted and skipped. The test failed before.

--- a/libs/citronshelf_client/citronshelf_client/story_command.py
+++ b/libs/citronshelf_client/citronshelf_client/story_command.py
@@ -132,7 +132,10 @@
     try:
         fields = json.loads(brace + rest)
         at = datetime.datetime.strptime(fields['time'], TIME_FORMAT)
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+    names = (fields.get('event_name', ''), fields.get('server', ''))
+    if not all(isinstance(name, str) for name in names):
         return None
     at = at.replace(tzinfo=datetime.UTC)
     return LogLine(at.timestamp(), origin.strip(), fields)
--- a/libs/citronshelf_client/tests/test_story_command.py
+++ b/libs/citronshelf_client/tests/test_story_command.py
@@ -113,3 +113,15 @@
         )
         assert (status, len(shown)) == (0, 1)
         assert errors == 'skipped 4 lines that are not log lines\n'
+
+    def test_values_of_other_types_are_no_log_lines(self, monkeypatch, capsys):
+        status, shown, errors = run_story(
+            monkeypatch,
+            capsys,
+            make_line(29, CHOSEN | {'server': ['s1']}),
+            make_line(29, CHOSEN | {'event_name': {}}),
+            make_line(29, CHOSEN)[:-1] + ', "a": ' + '[' * 100_000,
+            make_line(30, CHOSEN),
+        )
+        assert (status, len(shown)) == (0, 1)
+        assert errors == 'skipped 3 lines that are not log lines\n'
