traffic: keep the queue of a removed service while a request pauses in it

Cause: a request that no server accepted pauses outside of running and waiting. When a document removed its service meanwhile, the queue was dropped and its later release went to a new queue, which raised AdmissionAlreadyReleased. A pause that was already ended also counts until its request waits again. The two tests failed before.

--- a/libs/citronshelf_traffic/citronshelf_traffic/admission.py
+++ b/libs/citronshelf_traffic/citronshelf_traffic/admission.py
@@ -53,8 +53,8 @@
     def set_services(self, services) -> None:
         """Set the services of the document, by name.
 
-        Queues of removed services are kept if they still have running or
-        waiting requests, and are otherwise dropped.
+        Queues of removed services are kept if they still have running,
+        waiting or paused requests, and are otherwise dropped.
         """
         self.services = dict(services)
         self.service_queues = {
@@ -63,6 +63,7 @@
             if service_queue.service in self.services
             or service_queue.running
             or service_queue.waiting
+            or service_queue.paused
         }
 
     def get_service_queue(self, work) -> service_queue_module.ServiceQueue:
--- a/libs/citronshelf_traffic/citronshelf_traffic/service_queue.py
+++ b/libs/citronshelf_traffic/citronshelf_traffic/service_queue.py
@@ -207,13 +207,14 @@
         try:
             await asyncio.wait([woken], timeout=pause_s)
         finally:
-            if woken in self.paused:
-                self.paused.remove(woken)
+            self.paused.remove(woken)
 
     def wake_paused(self) -> None:
         """End the pause that began first, if there is one."""
-        if self.paused:
-            self.paused.popleft().set_result(None)
+        for woken in self.paused:
+            if not woken.done():
+                woken.set_result(None)
+                return
 
     def admit_waiting(self, now: float) -> None:
         """Admit waiting requests in order until the limit is reached.
--- a/libs/citronshelf_traffic/tests/test_admission.py
+++ b/libs/citronshelf_traffic/tests/test_admission.py
@@ -150,6 +150,25 @@
         run(main)
 
 
+    @pytest.mark.parametrize('is_woken', [False, True])
+    def test_service_may_be_removed_during_the_pause(
+        self, build, run, is_woken
+    ):
+        async def main():
+            queue = await make_queue(build)
+            first = (await queue.admit(build.work(1))).ok
+            again = asyncio.create_task(queue.requeue(first))
+            await asyncio.sleep(0.001)
+            if is_woken:
+                queue.get_service_queue(build.work()).wake_paused()
+            queue.set_services({})
+            admitted = (await again).ok
+            queue.release(admitted)
+            assert not queue.get_service_queue(build.work()).running
+
+        run(main)
+
+
 class TestAdaptiveLimit:
     """The limit decreases when servers queue, and grows when reached."""
 
