peers: an instance that has left sends nothing more

Cause: after Leave an instance runs on until its requests have ended, up to six seconds, and its heartbeats and evidence made it a member again at the others, for 20 s after its end. There it counted as a reader of the store, and other regions were not told at all.

Now Leave goes to all members and nothing is sent after it. The test failed before: all five others knew the instance again three seconds later.

--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -85,6 +85,7 @@
         self.next_heartbeat_s = 0.0
         self.next_remote_heartbeat_s = 0.0
         self.next_report_s = 0.0
+        self.has_left = False
         self.last_fetch_s = float('-inf')
         self.on_peer_revision = lambda revision: None
         self.is_store_current = lambda: False
@@ -211,8 +212,10 @@
         """Send a message, connecting to the address first if needed.
 
         Returns False if the message was dropped because it could not be
-        queued.
+        queued, or because this instance has left.
         """
+        if self.has_left:
+            return False
         self.links.connect(address)
         return self.links.send(address, peer_messages.CODEC.encode(message))
 
@@ -363,10 +366,15 @@
             self.flush_timer = None
 
     def leave(self) -> None:
-        """Announce to the instances of the region that this one stops."""
+        """Announce to all instances that this one stops.
+
+        Nothing is sent after that: a later message would make this instance
+        a member again.
+        """
         message = peer_messages.Leave(self.own)
-        for peer in self.members.in_region():
+        for peer in list(self.members.known.values()):
             self.send(peer.member.address, message)
+        self.has_left = True
 
 
 def is_urgent(
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -162,6 +162,18 @@
 
         assert not asyncio.run(run())
 
+    def test_leaving_instance_does_not_return(self, clock):
+        """It still runs until its requests have ended."""
+
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            group.instances[0].leave()
+            await group.step(rounds=6)
+            return group.counts()
+
+        assert asyncio.run(run())[1:] == [5] * 5
+
     def test_members_are_found_after_a_restart_of_all(self, clock):
         async def run():
             group = Fleet(clock)
