--- a/libs/citronshelf_traffic/tests/test_admission.py
+++ b/libs/citronshelf_traffic/tests/test_admission.py
@@ -149,7 +149,6 @@
 
         run(main)
 
-
     @pytest.mark.parametrize('is_woken', [False, True])
     def test_service_may_be_removed_during_the_pause(
         self, build, run, is_woken
