--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -38,7 +38,8 @@
 # An instance that follows readers reads the store itself about this often, so
 # that readers that miss a change without noticing are found soon in any fleet.
 POLL_INTERVAL_S = 30.0
-# Time between two looks at what readers reported.
+# Interval at which an instance that follows readers checks whether a change
+# was not reported.
 FOLLOW_INTERVAL_S = 0.2
 # Changes of more registrations are read from the store by every instance.
 MAX_DELTA_REGISTRATIONS = 64
