links: replace a connection whose peer acknowledges nothing for 3 s

Cause: the kernel retransmits on such a connection for a quarter of an hour, at growing intervals, and ZeroMQ reports it as established meanwhile. Messages are queued on it and lost.

TCP_USER_TIMEOUT, which ZeroMQ sets by ZMQ_TCP_MAXRT, ends a connection after 3 s without an acknowledgement, and ZeroMQ opens a new one. It costs no message; heartbeats of ZeroMQ would cost one for each of up to 64 connections.

test_connection_of_stalled_peer_is_replaced failed before (one connection after 12 s).

--- a/libs/citronshelf_peering/citronshelf_peering/links.py
+++ b/libs/citronshelf_peering/citronshelf_peering/links.py
@@ -21,6 +21,9 @@
 # queue would only hold outdated messages.
 QUEUE_MESSAGES = 32
 HANDSHAKE_TIMEOUT_MS = 5000
+# A connection whose peer acknowledges nothing for this long is closed and
+# opened anew. The kernel would retransmit for a quarter of an hour.
+UNACKNOWLEDGED_TIMEOUT_MS = 3000
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 2000
 BACKLOG_CONNECTIONS = 128
@@ -89,6 +92,7 @@
     socket.setsockopt(zmq.RCVHWM, QUEUE_MESSAGES)
     socket.setsockopt(zmq.MAXMSGSIZE, messages.wire.MAX_MESSAGE_BYTES)
     socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
+    socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_TIMEOUT_MS)
     socket.setsockopt(zmq.BACKLOG, BACKLOG_CONNECTIONS)
     if keys is not None:
         socket.curve_publickey = keys.public
--- a/libs/citronshelf_peering/tests/test_links.py
+++ b/libs/citronshelf_peering/tests/test_links.py
@@ -1,6 +1,7 @@
 """Tests of the links with sockets on the loopback interface."""
 
 import asyncio
+import contextlib
 import socket
 
 import zmq
@@ -9,6 +10,8 @@
 from citronshelf_peering import links
 
 KEYS = links.KeyPair(*zmq.curve_keypair())
+# Several times the timeout of unacknowledged data.
+STALL_OBSERVED_S = 12.0
 FOREIGN_KEYS = links.KeyPair(*zmq.curve_keypair())
 
 
@@ -112,6 +115,88 @@
     return received[0] == (address, b'answer'), sent_after_disconnect
 
 
+class StalledRelay:
+    """Relays to an address until it stalls: then it reads nothing more.
+
+    Attributes
+    ----------
+    accepted : int
+        Connections that were accepted.
+    """
+
+    def __init__(self, target):
+        self.target = target
+        self.stalled = asyncio.Event()
+        self.accepted = 0
+        self.writers = []
+
+    async def start(self):
+        """Listen and return the address."""
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        return fleet.Address(*self.server.sockets[0].getsockname())
+
+    async def stop(self):
+        """Abort all connections and wait until they have ended."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        await asyncio.sleep(0.05)
+
+    async def serve(self, reader, writer):
+        """Relay one connection in both directions."""
+        self.accepted += 1
+        target_reader, target_writer = await asyncio.open_connection(
+            *self.target
+        )
+        self.writers += [writer, target_writer]
+        with contextlib.suppress(ConnectionError):
+            await asyncio.gather(
+                self.relay(reader, writer.transport, target_writer),
+                self.relay(target_reader, target_writer.transport, writer),
+            )
+
+    async def relay(self, reader, source, writer):
+        """Relay one direction; the kernel buffers fill after a stall."""
+        while data := await reader.read(65536):
+            writer.write(data)
+            if self.stalled.is_set():
+                source.pause_reading()
+
+
+async def count_connections_of_stalled_peer():
+    """Send to a peer that stalls; return the connections it accepted."""
+    address = free_address()
+    receiver = links.ZmqLinks(address=address, keys=KEYS)
+    sender = links.ZmqLinks(address=free_address(), keys=KEYS)
+    tasks = [asyncio.create_task(x.run()) for x in (receiver, sender)]
+    relay = StalledRelay(address)
+    route = await relay.start()
+    sender.connect(route)
+    while not sender.send(route, b'first'):
+        await asyncio.sleep(0.05)
+    relay.stalled.set()
+    end_s = asyncio.get_running_loop().time() + STALL_OBSERVED_S
+    while asyncio.get_running_loop().time() < end_s and relay.accepted < 2:
+        sender.send(route, bytes(links.messages.wire.MAX_MESSAGE_BYTES // 2))
+        await asyncio.sleep(0.02)
+    for task in tasks:
+        task.cancel()
+    sender.close()
+    receiver.close()
+    await relay.stop()
+    return relay.accepted
+
+
+class TestUnacknowledged:
+    """Connections to a peer that has gone without closing them."""
+
+    # Guards against messages that get lost for seconds or minutes on a
+    # connection to a peer that lost power or was cut off.
+    def test_connection_of_stalled_peer_is_replaced(self):
+        accepted = asyncio.run(count_connections_of_stalled_peer())
+        assert accepted == 2
+
+
 class TestZmqLinks:
     """Messages pass in both directions; an address is bound only once."""
 
