instance: pass on a rejection only if a server signed it

What callers saw: a response with status 300 to 499 and no signature was passed on as if a server had given it. Callers do not retry 400, 401, 404, 413 or 431, so proper requests ended there. The observation also counted as good, so that a fast program of that kind at the address of a server that had ended attracted more requests.

Cause: classify_response checked the signature only below status 300. It also passed on statuses above 599, which HTTP does not have.

Such a response is now lost: idempotent requests are retried on another server, others end with 502, and the server's health evidence is a failure. Signed rejections and server errors are passed on as before.

test_rejection_that_no_server_gave_is_not_passed_on failed before for an unsigned 404, an unsigned 302 and a 999 (3 of 3 cases: the response was passed on).

--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -9,6 +9,7 @@
 from citronshelf_entry import exchange
 from citronshelf_entry import headers
 from citronshelf_entry import upstream
+from citronshelf_instance import caller_request
 from citronshelf_instance import configuration
 from citronshelf_instance import events
 from citronshelf_instance import evidence
@@ -25,6 +26,7 @@
 # if the response has the server's not-run header or status 421.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED_STATUS = 421
+MAX_STATUS = 599
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -37,7 +39,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ServerErrorResult:
-    """A complete response with a status of 500 or higher, except 503."""
+    """A complete response with a status from 500 to 599, except 503."""
 
     response: outcomes.Response
     kind: str = 'server-failed'
@@ -193,9 +195,7 @@
             )
         if head.status in NOT_RUN_STATUSES:
             return LostResult(reason=f'unproved-{head.status}')
-        signed = headers.first_of(head.headers, names.signature.lower())
-        encoded = headers.first_of(head.headers, 'content-encoding')
-        if head.status < 300 and (not signed or encoded):
+        if not is_from_server(head, names):
             return LostResult(reason='not-the-servers-answer')
         response = outcomes.Response(
             status=head.status, headers=head.headers, body=body
@@ -286,3 +286,21 @@
             sent=self.is_sent(),
             elapsed_ms=round(elapsed_s * 1000, 1),
         )
+
+
+def is_from_server(
+    head: exchange.ResponseHead, names: caller_request.HeaderNames
+) -> bool:
+    """Return whether a server gave this response.
+
+    Another program at the address of a server that has ended does not sign
+    its responses. Server errors need no signature: they promise the caller
+    nothing, whichever program sent them.
+    """
+    if 500 <= head.status <= MAX_STATUS:
+        return True
+    signed = headers.first_of(head.headers, names.signature.lower())
+    if head.status > MAX_STATUS or not signed:
+        return False
+    encoded = headers.first_of(head.headers, 'content-encoding')
+    return head.status >= 300 or not encoded
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -26,6 +26,10 @@
 MOVED = b'HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n'
 BARE_503 = b'HTTP/1.1 503 No\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n'
 UNSIGNED = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+UNSIGNED_404 = b'HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno'
+UNSIGNED_302 = UNSIGNED_404.replace(b'404', b'302')
+NO_STATUS = ERROR.replace(b'500', b'999')
+SIGNED_404 = ERROR.replace(b'500', b'404')
 ENCODED = (
     b'HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Encoding: gzip\r\n'
     b'Content-Length: 2\r\n\r\nok'
@@ -183,6 +187,21 @@
         outcome, _, _ = run_with(ERROR, idempotent=False)
         assert (outcome.status, outcome.body) == (500, b'no')
 
+    def test_signed_rejection_is_passed_on_unchanged(self):
+        outcome, heads, _ = run_with(SIGNED_404, GOOD)
+        assert (outcome.status, outcome.body) == (404, b'no')
+        assert len(heads) == 1
+
+    # Guards against rejections that no server gave: what answers at the
+    # address of a failed server, or a corrupted head, denied proper requests.
+    @pytest.mark.parametrize('script', [UNSIGNED_404, UNSIGNED_302, NO_STATUS])
+    def test_rejection_that_no_server_gave_is_not_passed_on(self, script):
+        outcome, _, harness = run_with(script, GOOD, idempotent=False)
+        assert outcome == outcomes.Unknown(reason='not-the-servers-answer')
+        assert harness.observations[-1].signal is evidence.HealthSignal.FAILED
+        outcome, _, _ = run_with(script, GOOD)
+        assert outcome.status == 200
+
     @pytest.mark.parametrize(
         'script', [BARE_503, UNSIGNED, ENCODED, SHORT, OTHER, CLOSE]
     )
