instance: refuse heads only by the published limit

What callers saw: a request head above 16 KB or with more than 100 headers was refused with 431, which callers do not retry, though the published max-header-bytes allowed it.

Cause: the instance shared find_raw_fault with the entry, which has these limits of its own, and checked the published limit besides.

find_syntax_fault now checks only the syntax; the entry keeps its limits in find_raw_fault. The number of headers is bounded by the size of the head.

test_head_within_published_limit_is_accepted failed before (2 of 2 cases, 431). Tests at the limits of head and body, with and without chunks, passed before and show that the published limits are exact.

--- a/libs/citronshelf_entry/citronshelf_entry/request_head.py
+++ b/libs/citronshelf_entry/citronshelf_entry/request_head.py
@@ -12,6 +12,8 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_HEADERS = 100
+# The request line and the two empty strings after the last header.
+LINES_BESIDE_HEADERS = 3
 MAX_TARGET_BYTES = 8 * 1024
 MAX_DEADLINE_MS = 3_600_000
 MAX_KEY_BYTES = 512
@@ -84,10 +86,9 @@
 
 
 def find_raw_fault(data: bytes) -> RequestRefusal | None:
-    """Return the refusal for a malformed head; None for a valid one.
+    """Return the refusal for a malformed or too large head.
 
-    Bare line feeds, folded lines and control characters are refused: parsers
-    that accept them disagree about where a message ends.
+    None for a valid one.
 
     Parameters
     ----------
@@ -96,7 +97,23 @@
     """
     if len(data) > MAX_HEAD_BYTES:
         return RequestRefusal(431, f'head over {MAX_HEAD_BYTES} bytes')
-    lines = data.removeprefix(b'\r\n').split(b'\r\n')
+    if len(split_lines(data)) - LINES_BESIDE_HEADERS > MAX_HEADERS:
+        return RequestRefusal(431, f'more than {MAX_HEADERS} headers')
+    return find_syntax_fault(data)
+
+
+def find_syntax_fault(data: bytes) -> RequestRefusal | None:
+    """Return the refusal for a malformed head of any size, or None.
+
+    Bare line feeds, folded lines and control characters are refused: parsers
+    that accept them disagree about where a message ends.
+
+    Parameters
+    ----------
+    data : bytes
+        The head up to and including the empty line.
+    """
+    lines = split_lines(data)
     if not data.endswith(b'\r\n\r\n'):
         return RequestRefusal(400, 'line feed without carriage return')
     start, fields = lines[0], lines[1:-2]
@@ -104,13 +121,16 @@
         return RequestRefusal(400, 'line feed without carriage return')
     if not START_LINE.fullmatch(start):
         return RequestRefusal(400, 'malformed request line')
-    if len(fields) > MAX_HEADERS:
-        return RequestRefusal(431, f'more than {MAX_HEADERS} headers')
     if not all(HEADER_LINE.fullmatch(line) for line in fields):
         return RequestRefusal(400, 'malformed header line')
     return None
 
 
+def split_lines(data: bytes) -> list[bytes]:
+    """Return the lines of a head; the last two of a complete one are empty."""
+    return data.removeprefix(b'\r\n').split(b'\r\n')
+
+
 def check_head(start_line, fields: headers.HeaderList) -> Result:
     """Validate the content of a head.
 
--- a/libs/citronshelf_instance/citronshelf_instance/caller_request.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_request.py
@@ -89,7 +89,7 @@
 
 
 def parse_head(data: bytes, names: HeaderNames) -> Result:
-    """Parse and validate the head of a request.
+    """Parse and validate the head of a request of any size.
 
     Parameters
     ----------
@@ -102,7 +102,7 @@
     Result
         ``Ok`` with a ``RequestHead`` or ``Error`` with a ``RequestRefusal``.
     """
-    fault = request_head.find_raw_fault(data)
+    fault = request_head.find_syntax_fault(data)
     if fault is not None:
         return Error(fault)
     start, *lines = data.decode('latin-1').split('\r\n')[:-2]
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -241,6 +241,59 @@
         assert b'Connection: close' in response
 
 
+class TestLimits:
+    """The published limits are the only ones on the size of a request."""
+
+    # Guards against fixed limits beside the published one, which refused
+    # proper requests with 431.
+    @pytest.mark.parametrize(
+        'extra',
+        [
+            'A: ' + 'x' * 20_000 + '\r\n',
+            ''.join(f'A{number}: 1\r\n' for number in range(150)),
+        ],
+        ids=['20 KB', '150 headers'],
+    )
+    def test_head_within_published_limit_is_accepted(self, extra):
+        async def run():
+            limits = SHORT._replace(max_head_bytes=32_768)
+            async with ScriptedApplication(limits=limits) as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1', extra=extra))
+                return (await read_response(reader))[1]
+
+        assert asyncio.run(run()) == b'/1'
+
+    @pytest.mark.parametrize('surplus, status', [(0, 200), (1, 431)])
+    def test_limit_of_the_head_is_exact(self, surplus, status):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                empty = len(request_bytes('/1', extra='A: \r\n'))
+                padding = 'x' * (SHORT.max_head_bytes - empty + surplus)
+                writer.write(request_bytes('/1', extra=f'A: {padding}\r\n'))
+                return (await read_response(reader))[0]
+
+        assert asyncio.run(run()).startswith(f'HTTP/1.1 {status}')
+
+    @pytest.mark.parametrize('surplus, status', [(0, 200), (1, 413)])
+    @pytest.mark.parametrize('chunked', [True, False])
+    def test_limit_of_the_body_is_exact(self, surplus, status, chunked):
+        async def run():
+            size = SHORT.max_body_bytes + surplus
+            data = request_bytes('/1', 'POST', b'x' * size)
+            if chunked:
+                extra = 'Transfer-Encoding: chunked\r\n'
+                data = request_bytes('/1', 'POST', extra=extra)
+                data += b'%x\r\n%b\r\n0\r\n\r\n' % (size, b'x' * size)
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                writer.write(data)
+                return (await read_response(reader))[0]
+
+        assert asyncio.run(run()).startswith(f'HTTP/1.1 {status}')
+
+
 class TestTimeouts:
     """Idle and slow callers are disconnected; waiting ones are not."""
 
