instance: judge each request by the limits in force when it begins

What callers saw: on a kept connection, the first request after a change of the published limits was refused with 413 or 431 by the older limits, which callers do not retry, however long the change was ago. An idle connection was also closed by the timeout from before the change.

Cause: read_request took the limits when the previous request had been read and then waited for the next one, for up to the idle timeout.

The limits are now taken when the first byte of a request arrives. The idle timeout follows the one in force, but never ends before the time that the last response announced in Keep-Alive.

test_next_request_is_judged_by_the_new_limits failed before (2 of 2 cases: 413 and 431), test_idle_connection_stays_open_for_the_longer_timeout for a raised timeout (1 of 2 cases; the connection was closed).

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -93,6 +93,7 @@
         self.outstanding = 0
         self.response_written = asyncio.Event()
         self.last_response_s = time.monotonic()
+        self.announced_idle_s = 0.0
         self.reading = False
         self.closing = False
 
@@ -230,11 +231,13 @@
             closes_connection = self.closing = self.should_close_after(
                 pending, response
             )
+            limits = self.server.application.limits()
+            self.announced_idle_s = limits.idle_timeout_s
             data = caller_response.render(
                 response,
                 method=pending.method,
                 closes_connection=closes_connection,
-                limits=self.server.application.limits(),
+                limits=limits,
             )
             try:
                 await self.stream.write(data)
@@ -269,9 +272,10 @@
         Raises one of ``READ_ERRORS`` if the caller stops sending or the head
         is too long to be read.
         """
-        limits = self.server.application.limits()
-        first = await self.read_first_byte(limits)
+        first = await self.read_first_byte()
         self.reading = True
+        # Other limits may have come into force while the connection was idle.
+        limits = self.server.application.limits()
         async with asyncio.timeout(limits.head_timeout_s):
             rest = await self.stream.read_until(
                 b'\r\n\r\n',
@@ -301,25 +305,25 @@
             return body
         return Ok(caller_request.CallerRequest(head, body.ok, arrived_s))
 
-    async def read_first_byte(self, limits) -> bytes:
+    async def read_first_byte(self) -> bytes:
         """Return the first byte of the next request.
 
         Raises ``TimeoutError`` if the caller is idle.
         """
         while True:
-            first = await self.wait_for_byte(limits)
+            first = await self.wait_for_byte()
             # Empty lines before a request are ignored.
             if first not in b'\r\n':
                 return first
 
-    async def wait_for_byte(self, limits) -> bytes:
+    async def wait_for_byte(self) -> bytes:
         """Return the next byte; raise ``TimeoutError`` if the caller is idle.
 
         A caller that waits for a response is not idle.
         """
         reading = asyncio.ensure_future(self.stream.read_bytes(1))
         while True:
-            remaining_s = limits.idle_timeout_s
+            remaining_s = self.idle_timeout_s()
             if not self.outstanding:
                 remaining_s += self.last_response_s - time.monotonic()
                 if remaining_s <= 0:
@@ -328,6 +332,14 @@
             if reading.done():
                 return reading.result()
 
+    def idle_timeout_s(self) -> float:
+        """Return how long the caller may be idle.
+
+        That is at least as long as the last response announced.
+        """
+        limits = self.server.application.limits()
+        return max(self.announced_idle_s, limits.idle_timeout_s)
+
 
 class CallerServer(tcpserver.TCPServer):
     """Accepts connections of callers.
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -294,6 +294,55 @@
         assert asyncio.run(run()).startswith(f'HTTP/1.1 {status}')
 
 
+class TestChangedLimits:
+    """A kept connection follows the limits that are in force."""
+
+    # Guards against judging a request by the limits that were in force when
+    # the previous one on its connection ended: 413 and 431 for proper ones.
+    @pytest.mark.parametrize(
+        'data',
+        [
+            request_bytes('/1', 'POST', b'x' * 2000),
+            request_bytes('/1', extra='A: ' + 'x' * 2000 + '\r\n'),
+        ],
+        ids=['body', 'head'],
+    )
+    def test_next_request_is_judged_by_the_new_limits(self, data):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1'))
+                await read_response(reader)
+                application.limits = SHORT._replace(
+                    max_head_bytes=4096, max_body_bytes=4096
+                )
+                await asyncio.sleep(0.05)
+                writer.write(data)
+                return (await read_response(reader))[0]
+
+        assert asyncio.run(run()).startswith('HTTP/1.1 200')
+
+    # Guards against closing idle connections by an older, shorter timeout or
+    # before the time that the last response announced.
+    @pytest.mark.parametrize('first_s, then_s', [(0.3, 1.2), (1.2, 0.3)])
+    def test_idle_connection_stays_open_for_the_longer_timeout(
+        self, first_s, then_s
+    ):
+        async def run():
+            limits = SHORT._replace(idle_timeout_s=first_s)
+            async with ScriptedApplication(limits=limits) as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1'))
+                await read_response(reader)
+                await asyncio.sleep(0.05)
+                application.limits = SHORT._replace(idle_timeout_s=then_s)
+                await asyncio.sleep(0.8 * max(first_s, then_s) - 0.05)
+                writer.write(request_bytes('/2'))
+                return (await read_response(reader))[1]
+
+        assert asyncio.run(run()) == b'/2'
+
+
 class TestTimeouts:
     """Idle and slow callers are disconnected; waiting ones are not."""
 
