instance: answer 503 for an unknown route while the configuration may be old

What callers saw: 404, which they do not retry, from an instance that had lost the store or knew from another instance that a newer publication existed, even though the newer configuration may have the route.

Cause: a request without a matching route was refused with 404 from any configuration, whatever its age.

404 now requires that the last call to the store succeeded, or that a reader of the region reports to this instance, and that no instance has announced a newer revision. Requests on known routes are unaffected.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -331,9 +331,8 @@
             return response, ''
         route = self.state.routes.match(head.host, head.path)
         if route is None:
-            refusal = request_head.RequestRefusal(404, 'no such route')
             response = caller_response.from_refusal(
-                refusal, closes_connection=False
+                self.refusal_without_route(), closes_connection=False
             )
             self.log_request_end(request, response, '', '')
             return response, ''
@@ -344,6 +343,15 @@
         self.log_request_end(request, response, route.name, reason)
         return response, route.name
 
+    def refusal_without_route(self) -> request_head.RequestRefusal:
+        """Return the refusal of a request that matches no route.
+
+        A newer configuration may have the route.
+        """
+        if self.reader.is_up_to_date():
+            return request_head.RequestRefusal(404, 'no such route')
+        return request_head.RequestRefusal(503, 'outdated configuration')
+
     def log_request_end(
         self, request, response, route_name: str, reason: str
     ) -> None:
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -287,6 +287,15 @@
         """Return whether the last call to the store succeeded."""
         return self.is_synced and self.is_reachable
 
+    def is_up_to_date(self) -> bool:
+        """Return whether no newer publication is known or likely.
+
+        While the store responds neither to this instance nor to a reader that
+        reports to it, there may be one.
+        """
+        is_followed = self.is_current() or self.group.is_covered()
+        return is_followed and not self.is_behind()
+
 
 def make_delta(
     after: int, changes: configuration.Changes
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -333,3 +333,37 @@
 
         asyncio.run(run())
         assert list(reader.state.directory.servers) == kept
+
+
+class TestUpToDate:
+    """Whether a newer publication than the known ones is possible."""
+
+    @pytest.mark.parametrize(
+        'reads, watches, covered, expected',
+        [
+            ([snapshot(3)], [], False, True),
+            ([snapshot(3)], [], True, True),
+            ([], [], False, False),
+            ([Error(UNREACHABLE)], [], False, False),
+            ([Error(UNREACHABLE)], [], True, True),
+            ([snapshot(3)], [Error(UNREACHABLE)], False, False),
+            ([snapshot(3)], [Error(HISTORY_LOST_FAULT)], False, False),
+        ],
+    )
+    def test_depends_on_the_last_response_of_the_store(
+        self, clock, reads, watches, covered, expected
+    ):
+        store = ScriptedStore(reads, watches)
+        reader, _ = read_with(store, clock, covered=covered)
+        assert reader.is_up_to_date() is expected
+
+    @pytest.mark.parametrize('revision, expected', [(3, True), (4, False)])
+    def test_newer_revision_of_a_peer_makes_it_outdated(
+        self, clock, revision, expected
+    ):
+        reader, _ = read_with(
+            ScriptedStore([snapshot(3)]),
+            clock,
+            act=lambda reader: reader.handle_peer_revision(revision),
+        )
+        assert reader.is_up_to_date() is expected
