instance: log and count every refusal of its own with its reason

A request that was refused before it was read was logged without its id and without the configuration that decided it, and not counted at all, so a report of many 4xx could not be traced to its cause afterwards.

Events 1900 and 1901 now have configuration_revision and configuration_age_s, the time since the store or a reader of it last showed that the state was the newest; 1901 has the request id if the head has one; the reason of a 404 or 503 without a dispatch is in 1900. citronshelf_refusals_total counts all of them by status and reason.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -55,6 +55,9 @@
     limits : callable
         Returns the ``CallerLimits`` in force.
     names : HeaderNames
+    record_refusal : callable
+        Called with each ``RequestRefusal`` of a request that cannot be read,
+        and the request id, which is empty if it is unknown.
     """
 
     handle: Callable[
@@ -64,6 +67,7 @@
     may_run_concurrently: Callable[[caller_request.RequestHead], bool]
     limits: Callable[[], configuration.CallerLimits]
     names: caller_request.HeaderNames
+    record_refusal: Callable[[request_head.RequestRefusal, str], None]
 
 
 class PendingRequest(NamedTuple):
@@ -95,6 +99,8 @@
         self.last_response_s = time.monotonic()
         self.announced_idle_s = 0.0
         self.reading = False
+        # Head of the request that is being read, without its first byte.
+        self.head_data = b''
         self.closing = False
 
     async def serve(self) -> None:
@@ -186,7 +192,10 @@
         """Log a read error, unless the connection was idle."""
         if self.reading:
             log_events.log_event(
-                LOG, events.REQUEST_REFUSED, reason=f'unread: {fault!r}'
+                LOG,
+                events.REQUEST_REFUSED,
+                request_id=self.find_request_id(),
+                reason=f'unread: {fault!r}',
             )
 
     async def wait_for_responses(self) -> None:
@@ -201,6 +210,7 @@
         task = asyncio.create_task(self.server.run(request))
         self.outstanding += 1
         self.reading = False
+        self.head_data = b''
         self.pending.put_nowait(
             PendingRequest(head.method, head.request_id, head.keep_alive, task)
         )
@@ -210,7 +220,7 @@
 
         The connection closes after it, so no further request is read.
         """
-        self.server.record_refusal(refusal)
+        self.server.application.record_refusal(refusal, self.find_request_id())
         response = asyncio.get_running_loop().create_future()
         response.set_result(
             caller_response.from_refusal(refusal, closes_connection=True)
@@ -219,6 +229,11 @@
         self.reading = False
         self.pending.put_nowait(PendingRequest('', '', False, response))
 
+    def find_request_id(self) -> str:
+        """Return the id of the request being read, empty if unknown."""
+        names = self.server.application.names
+        return caller_request.find_request_id(self.head_data, names)
+
     async def write_responses(self) -> None:
         """Write responses in the order of their requests."""
         while True:
@@ -274,6 +289,7 @@
         """
         first = await self.read_first_byte()
         self.reading = True
+        self.head_data = b''
         # Other limits may have come into force while the connection was idle.
         limits = self.server.application.limits()
         async with asyncio.timeout(limits.head_timeout_s):
@@ -282,6 +298,7 @@
                 max_bytes=MAX_READ_HEAD_FACTOR * limits.max_head_bytes,
             )
         arrived_s = time.monotonic()
+        self.head_data = rest
         if len(rest) >= limits.max_head_bytes:
             text = f'head over {limits.max_head_bytes} bytes'
             return Error(request_head.RequestRefusal(431, text))
@@ -359,7 +376,6 @@
         self.buffered_bodies = request_body.BufferedBytes()
         self.running = 0
         self.draining = False
-        self.refused = 0
 
     async def handle_stream(self, stream, address) -> None:
         """Serve a connection unless there are too many; called by tornado."""
@@ -388,16 +404,6 @@
         finally:
             self.running -= 1
 
-    def record_refusal(self, refusal: request_head.RequestRefusal) -> None:
-        """Count and log an invalid request."""
-        self.refused += 1
-        log_events.log_event(
-            LOG,
-            events.REQUEST_REFUSED,
-            status=refusal.status,
-            reason=refusal.reason,
-        )
-
     def close_idle(self) -> None:
         """Close connections without a request in progress."""
         for connection in list(self.connections):
--- a/libs/citronshelf_instance/citronshelf_instance/caller_request.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_request.py
@@ -13,6 +13,8 @@
 
 REQUEST_ID_BYTES = 8
 MAX_DEADLINE_MS = 3_600_000
+# Ids of heads that were not validated are logged only if they match this.
+REQUEST_ID_PATTERN = re.compile(r'[\x21-\x7e]{1,128}')
 DEADLINE_PATTERN = re.compile(r'[0-9]{1,12}')
 
 
@@ -154,6 +156,17 @@
     return known or os.urandom(REQUEST_ID_BYTES).hex()
 
 
+def find_request_id(data: bytes, names: HeaderNames) -> str:
+    """Return the request id in a head that need not be valid.
+
+    Returns an empty string if it is missing or malformed.
+    """
+    lines = data.decode('latin-1').split('\r\n')[1:]
+    pairs = tuple(parse_header_line(line) for line in lines)
+    known = headers.first_of(pairs, names.request_id.lower())
+    return known if REQUEST_ID_PATTERN.fullmatch(known) else ''
+
+
 def deadline_of(pairs: headers.HeaderList, names: HeaderNames) -> float | None:
     """Return the caller's deadline in seconds, at most ``MAX_DEADLINE_MS``.
 
--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -156,6 +156,7 @@
             may_run_concurrently=self.may_run_concurrently,
             limits=lambda: self.state.limits,
             names=self.names,
+            record_refusal=self.record_unread_request,
         )
         return caller_connection.CallerServer(
             application=application, max_connections=max_connections
@@ -324,18 +325,11 @@
         """
         head = request.head
         if not await self.state.wait_routable(FIRST_READ_WAIT_S):
-            response = caller_response.error_response(
-                503, 'not-run', 'no configuration'
-            )
-            self.log_request_end(request, response, '', '')
-            return response, ''
+            refusal = request_head.RequestRefusal(503, 'no configuration')
+            return self.refuse(request, refusal), ''
         route = self.state.routes.match(head.host, head.path)
         if route is None:
-            response = caller_response.from_refusal(
-                self.refusal_without_route(), closes_connection=False
-            )
-            self.log_request_end(request, response, '', '')
-            return response, ''
+            return self.refuse(request, self.refusal_without_route()), ''
         routed = self.state.routes.assign(route)
         outcome = await self.forwarder.run(request, routed)
         response = caller_response.from_outcome(outcome, head, self.names)
@@ -352,6 +346,42 @@
             return request_head.RequestRefusal(404, 'no such route')
         return request_head.RequestRefusal(503, 'outdated configuration')
 
+    def refuse(
+        self, request, refusal: request_head.RequestRefusal
+    ) -> caller_response.CallerResponse:
+        """Count and log a refusal before a dispatch; return the response."""
+        self.metrics.record_refusal(refusal.status, refusal.reason)
+        response = caller_response.from_refusal(
+            refusal, closes_connection=False
+        )
+        self.log_request_end(request, response, '', refusal.reason)
+        return response
+
+    def record_unread_request(
+        self, refusal: request_head.RequestRefusal, request_id: str
+    ) -> None:
+        """Count and log the refusal of a request that cannot be read."""
+        self.metrics.record_refusal(refusal.status, refusal.reason)
+        log_events.log_event(
+            LOG,
+            events.REQUEST_REFUSED,
+            request_id=request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            **self.configuration_fields(),
+        )
+
+    def configuration_fields(self) -> dict[str, float | None]:
+        """Return log fields about the configuration that decides a request."""
+        published_configuration = self.state.configuration
+        age_s = self.state.age_s()
+        return {
+            'configuration_revision': published_configuration.revision
+            if published_configuration
+            else 0,
+            'configuration_age_s': None if age_s is None else round(age_s, 3),
+        }
+
     def log_request_end(
         self, request, response, route_name: str, reason: str
     ) -> None:
@@ -366,13 +396,11 @@
             host=head.host,
             path=head.path[:200],
             route=route_name,
-            configuration_revision=self.state.configuration.revision
-            if self.state.configuration
-            else 0,
             deadline_s=head.deadline_s,
             status=response.status,
             reason=reason,
             elapsed_ms=round(elapsed_s * 1000, 1),
+            **self.configuration_fields(),
         )
 
 
--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -64,9 +64,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LostResult:
-    """The work may have run, but there is no response to pass on."""
+    """The work may have run, but there is no response to pass on.
+
+    Attributes
+    ----------
+    reason : str
+    status : int
+        Status of a response that was rejected; 0 without a response.
+    """
 
     reason: str
+    status: int = 0
     kind: str = 'lost'
 
 
@@ -194,9 +202,13 @@
                 reason='another-server', refused_by_server=True
             )
         if head.status in NOT_RUN_STATUSES:
-            return LostResult(reason=f'unproved-{head.status}')
+            return LostResult(
+                reason=f'unproved-{head.status}', status=head.status
+            )
         if not is_from_server(head, names):
-            return LostResult(reason='not-the-servers-answer')
+            return LostResult(
+                reason='not-the-servers-answer', status=head.status
+            )
         response = outcomes.Response(
             status=head.status, headers=head.headers, body=body
         )
@@ -280,14 +292,23 @@
             server=self.server.server_id,
             result=result.kind if result else 'cancelled',
             reason=getattr(result, 'reason', ''),
-            status=result.response.status
-            if hasattr(result, 'response')
-            else 0,
+            status=received_status(result),
             sent=self.is_sent(),
             elapsed_ms=round(elapsed_s * 1000, 1),
         )
 
 
+def received_status(result: Result | None) -> int:
+    """Return the status that the server's response had, or 0."""
+    match result:
+        case GoodResult() | ServerErrorResult():
+            return result.response.status
+        case LostResult():
+            return result.status
+        case _:
+            return 0
+
+
 def is_from_server(
     head: exchange.ResponseHead, names: caller_request.HeaderNames
 ) -> bool:
--- a/libs/citronshelf_instance/citronshelf_instance/metrics.py
+++ b/libs/citronshelf_instance/citronshelf_instance/metrics.py
@@ -7,6 +7,7 @@
 BUCKET_BOUNDS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0]
 COUNTER_HELP = {
     'requests': 'Requests of callers, by status',
+    'refusals': 'Requests refused without a dispatch, by status and reason',
     'dispatches': 'Dispatches to backend servers, by result',
     'hedges': 'Second dispatches of requests whose answer is overdue',
     'repeats_denied': 'Repeats that the retry budget did not allow',
@@ -45,6 +46,11 @@
         self.count('requests', str(status))
         self.times.observe({'route': route}, seconds)
 
+    def record_refusal(self, status: int, reason: str) -> None:
+        """Count a request that was refused without a dispatch."""
+        labels = {'status': str(status), 'reason': reason}
+        self.counters['refusals'].inc(labels)
+
     def add_gauge(self, name: str, help_text: str, value) -> None:
         """Add a gauge; ``value`` is called each time metrics are rendered."""
         gauge = aioprometheus.Gauge(
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -12,6 +12,9 @@
 
 LOG = logging.getLogger(__name__)
 
+# Source of a state that this instance itself read from the store.
+STORE_SOURCE = 'store'
+
 
 class PublishedState:
     """Configuration in force and registered servers.
@@ -36,6 +39,9 @@
         configuration in force if that is newer.
     unchanged_since : int
         No change is known after this revision and up to ``revision``.
+    confirmed_s : float or None
+        Time at which the store, or a reader of it, last showed that the state
+        was the newest; None if it never did.
     """
 
     def __init__(
@@ -51,6 +57,7 @@
         self.revision = 0
         self.change_revision = 0
         self.unchanged_since = 0
+        self.confirmed_s: float | None = None
         self.configuration: configuration.Configuration | None = None
         self.routes: routing.RouteTable | None = None
         self.limits = configuration.CallerLimits()
@@ -64,6 +71,8 @@
         if snapshot.revision < self.revision:
             return
         self.revision = self.unchanged_since = snapshot.revision
+        if source == STORE_SOURCE:
+            self.confirmed_s = self.clock()
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration, source)
         self.directory.replace(snapshot)
@@ -76,8 +85,9 @@
         if changes.revision < self.revision:
             return
         self.revision = changes.revision
+        self.confirmed_s = self.clock()
         if changes.configuration is not None:
-            self.apply_configuration(changes.configuration, 'store')
+            self.apply_configuration(changes.configuration, STORE_SOURCE)
         if changes.registrations:
             self.directory.apply(changes)
         if changes.configuration or changes.registrations:
@@ -93,7 +103,10 @@
         Returns False, without a change, if they are known already or changes
         before them are missing.
         """
-        if not delta.after <= self.revision < delta.revision:
+        if not delta.after <= self.revision <= delta.revision:
+            return False
+        self.confirmed_s = self.clock()
+        if delta.revision == self.revision:
             return False
         self.revision = delta.revision
         if delta.registrations:
@@ -132,6 +145,15 @@
             source=source,
         )
 
+    def age_s(self) -> float | None:
+        """Return the seconds since the state was known to be the newest.
+
+        Returns None if it never was.
+        """
+        if self.confirmed_s is None:
+            return None
+        return self.clock() - self.confirmed_s
+
     def snapshot(self) -> configuration.Snapshot:
         """Return the state for an instance that cannot read the store."""
         return configuration.Snapshot(
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -138,7 +138,7 @@
             await self.handle_fault(read.error)
             return
         self.record_response()
-        self.state.replace(read.ok, source='store')
+        self.state.replace(read.ok, source=published.STORE_SOURCE)
         self.is_synced = True
         self.send_report(None)
 
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -33,6 +33,7 @@
         self.ended = []
         self.order = []
         self.cancelled = []
+        self.refusals = []
 
     async def handle(self, request):
         path = request.head.path
@@ -55,6 +56,9 @@
             may_run_concurrently=lambda head: head.method == 'GET',
             limits=lambda: self.limits,
             names=caller_request.HeaderNames(),
+            record_refusal=lambda refusal, request_id: self.refusals.append(
+                (refusal.status, request_id)
+            ),
         )
         self.server = caller_connection.CallerServer(
             application=application, max_connections=4
@@ -241,6 +245,38 @@
         assert b'Connection: close' in response
 
 
+class TestRefusalRecords:
+    """Refusals are recorded with the request id if the head has one."""
+
+    # Guards against refusals that cannot be found from a request's id.
+    @pytest.mark.parametrize(
+        'path, method, body, extra, record',
+        [
+            ('/1', 'POST', b'x' * 1001, 'X-Request-Id: r7\r\n', (413, 'r7')),
+            ('a', 'GET', b'', 'X-Request-Id: r7\r\n', (400, 'r7')),
+            (
+                '/1',
+                'GET',
+                b'',
+                'X-Request-Id: r7\r\nA: ' + 'x' * 1100 + '\r\n',
+                (431, 'r7'),
+            ),
+            ('/1', 'GET', b'', 'X-Request-Id: a b\r\nB ad: 1\r\n', (400, '')),
+            ('/1', 'GET', b'', 'B ad: 1\r\n', (400, '')),
+        ],
+    )
+    def test_refusal_is_recorded(self, path, method, body, extra, record):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                ok = request_bytes('/1', extra='X-Request-Id: r6\r\n')
+                writer.write(ok + request_bytes(path, method, body, extra))
+                await reader.read()
+                return application.refusals
+
+        assert asyncio.run(run()) == [record]
+
+
 class TestLimits:
     """The published limits are the only ones on the size of a request."""
 
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """Tests of forwarding requests to servers, over real sockets."""
 
 import asyncio
+import logging
 import time
 
 import pytest
@@ -202,6 +203,12 @@
         outcome, _, _ = run_with(script, GOOD)
         assert outcome.status == 200
 
+    def test_status_of_rejected_response_is_logged(self, caplog):
+        with caplog.at_level(logging.INFO):
+            run_with(UNSIGNED_404)
+        records = [r for r in caplog.records if hasattr(r, 'elapsed_ms')]
+        assert [r.status for r in records] == [404]
+
     @pytest.mark.parametrize(
         'script', [BARE_503, UNSIGNED, ENCODED, SHORT, OTHER, CLOSE]
     )
--- a/libs/citronshelf_instance/tests/test_metrics.py
+++ b/libs/citronshelf_instance/tests/test_metrics.py
@@ -40,3 +40,12 @@
         instance_metrics.count('hedges')
         instance_metrics.count('hedges')
         assert 'citronshelf_hedges_total 2' in lines_of(instance_metrics)
+
+    def test_refusals_are_counted_by_status_and_reason(self):
+        instance_metrics = metrics.InstanceMetrics()
+        for _ in range(2):
+            instance_metrics.record_refusal(404, 'no such route')
+        line = (
+            'citronshelf_refusals_total{reason="no such route",status="404"}'
+        )
+        assert f'{line} 2' in lines_of(instance_metrics)
--- a/libs/citronshelf_instance/tests/test_published.py
+++ b/libs/citronshelf_instance/tests/test_published.py
@@ -5,6 +5,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
 from citronshelf_instance import configuration
 from citronshelf_instance import published
@@ -119,3 +120,37 @@
             configuration.Changes(4, make_configuration(revision=4), {})
         )
         assert state.is_routable()
+
+
+class TestAge:
+    """Time since the state was last known to be the newest."""
+
+    def test_is_unknown_before_a_response_of_the_store(self, clock):
+        state = make_state(clock)
+        assert state.age_s() is None
+        first = configuration.Snapshot(3, make_configuration(), ())
+        state.replace(first, source='i2')
+        assert state.age_s() is None
+
+    def test_restarts_with_each_response_of_the_store(self, clock):
+        state = make_state(clock)
+        first = configuration.Snapshot(3, make_configuration(), ())
+        state.replace(first, source='store')
+        clock.advance(2.0)
+        assert state.age_s() == 2.0
+        state.apply(configuration.Changes(3, None, {}))
+        assert state.age_s() == 0.0
+
+    @pytest.mark.parametrize(
+        'after, revision, age_s',
+        [(3, 4, 0.0), (3, 3, 0.0), (2, 2, 2.0), (4, 5, 2.0)],
+    )
+    def test_restarts_with_a_report_of_the_newest_revision(
+        self, clock, after, revision, age_s
+    ):
+        state = make_state(clock)
+        first = configuration.Snapshot(3, make_configuration(), ())
+        state.replace(first, source='store')
+        clock.advance(2.0)
+        state.apply_delta(configuration.RegistrationDelta(after, revision, {}))
+        assert state.age_s() == age_s
