--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -33,6 +33,7 @@
         self.ended = []
         self.order = []
         self.cancelled = []
+        self.refusals = []
 
     async def handle(self, request):
         path = request.head.path
@@ -55,6 +56,9 @@
             may_run_concurrently=lambda head: head.method == 'GET',
             limits=lambda: self.limits,
             names=caller_request.HeaderNames(),
+            record_refusal=lambda refusal, request_id: self.refusals.append(
+                (refusal.status, request_id)
+            ),
         )
         self.server = caller_connection.CallerServer(
             application=application, max_connections=4
@@ -241,6 +245,140 @@
         assert b'Connection: close' in response
 
 
+class TestRefusalRecords:
+    """Refusals are recorded with the request id if the head has one."""
+
+    # Guards against refusals that cannot be found from a request's id.
+    @pytest.mark.parametrize(
+        'path, method, body, extra, record',
+        [
+            ('/1', 'POST', b'x' * 1001, 'X-Request-Id: r7\r\n', (413, 'r7')),
+            ('a', 'GET', b'', 'X-Request-Id: r7\r\n', (400, 'r7')),
+            (
+                '/1',
+                'GET',
+                b'',
+                'X-Request-Id: r7\r\nA: ' + 'x' * 1100 + '\r\n',
+                (431, 'r7'),
+            ),
+            ('/1', 'GET', b'', 'X-Request-Id: a b\r\nB ad: 1\r\n', (400, '')),
+            ('/1', 'GET', b'', 'B ad: 1\r\n', (400, '')),
+        ],
+    )
+    def test_refusal_is_recorded(self, path, method, body, extra, record):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                ok = request_bytes('/1', extra='X-Request-Id: r6\r\n')
+                writer.write(ok + request_bytes(path, method, body, extra))
+                await reader.read()
+                return application.refusals
+
+        assert asyncio.run(run()) == [record]
+
+
+class TestLimits:
+    """The published limits are the only ones on the size of a request."""
+
+    # Guards against fixed limits beside the published one, which refused
+    # proper requests with 431.
+    @pytest.mark.parametrize(
+        'extra',
+        [
+            'A: ' + 'x' * 20_000 + '\r\n',
+            ''.join(f'A{number}: 1\r\n' for number in range(150)),
+        ],
+        ids=['20 KB', '150 headers'],
+    )
+    def test_head_within_published_limit_is_accepted(self, extra):
+        async def run():
+            limits = SHORT._replace(max_head_bytes=32_768)
+            async with ScriptedApplication(limits=limits) as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1', extra=extra))
+                return (await read_response(reader))[1]
+
+        assert asyncio.run(run()) == b'/1'
+
+    @pytest.mark.parametrize('surplus, status', [(0, 200), (1, 431)])
+    def test_limit_of_the_head_is_exact(self, surplus, status):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                empty = len(request_bytes('/1', extra='A: \r\n'))
+                padding = 'x' * (SHORT.max_head_bytes - empty + surplus)
+                writer.write(request_bytes('/1', extra=f'A: {padding}\r\n'))
+                return (await read_response(reader))[0]
+
+        assert asyncio.run(run()).startswith(f'HTTP/1.1 {status}')
+
+    @pytest.mark.parametrize('surplus, status', [(0, 200), (1, 413)])
+    @pytest.mark.parametrize('chunked', [True, False])
+    def test_limit_of_the_body_is_exact(self, surplus, status, chunked):
+        async def run():
+            size = SHORT.max_body_bytes + surplus
+            data = request_bytes('/1', 'POST', b'x' * size)
+            if chunked:
+                extra = 'Transfer-Encoding: chunked\r\n'
+                data = request_bytes('/1', 'POST', extra=extra)
+                data += b'%x\r\n%b\r\n0\r\n\r\n' % (size, b'x' * size)
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                writer.write(data)
+                return (await read_response(reader))[0]
+
+        assert asyncio.run(run()).startswith(f'HTTP/1.1 {status}')
+
+
+class TestChangedLimits:
+    """A kept connection follows the limits that are in force."""
+
+    # Guards against judging a request by the limits that were in force when
+    # the previous one on its connection ended: 413 and 431 for proper ones.
+    @pytest.mark.parametrize(
+        'data',
+        [
+            request_bytes('/1', 'POST', b'x' * 2000),
+            request_bytes('/1', extra='A: ' + 'x' * 2000 + '\r\n'),
+        ],
+        ids=['body', 'head'],
+    )
+    def test_next_request_is_judged_by_the_new_limits(self, data):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1'))
+                await read_response(reader)
+                application.limits = SHORT._replace(
+                    max_head_bytes=4096, max_body_bytes=4096
+                )
+                await asyncio.sleep(0.05)
+                writer.write(data)
+                return (await read_response(reader))[0]
+
+        assert asyncio.run(run()).startswith('HTTP/1.1 200')
+
+    # Guards against closing idle connections by an older, shorter timeout or
+    # before the time that the last response announced.
+    @pytest.mark.parametrize('first_s, then_s', [(0.3, 1.2), (1.2, 0.3)])
+    def test_idle_connection_stays_open_for_the_longer_timeout(
+        self, first_s, then_s
+    ):
+        async def run():
+            limits = SHORT._replace(idle_timeout_s=first_s)
+            async with ScriptedApplication(limits=limits) as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1'))
+                await read_response(reader)
+                await asyncio.sleep(0.05)
+                application.limits = SHORT._replace(idle_timeout_s=then_s)
+                await asyncio.sleep(0.8 * max(first_s, then_s) - 0.05)
+                writer.write(request_bytes('/2'))
+                return (await read_response(reader))[1]
+
+        assert asyncio.run(run()) == b'/2'
+
+
 class TestTimeouts:
     """Idle and slow callers are disconnected; waiting ones are not."""
 
