peers: keep lapsed entries of a state fetched from another instance

After an outage of the store in which registrations lapsed, an instance that already had read the store held the lapsed servers for the grace period, but the state that it sent to others listed none of them. An instance that still had no store applied that newer state, removed all servers at once and answered 503 (no-server) until its own next call to the store, which is up to 3 s later (1.5 s pause and 1.5 s response timeout). An instance that started in the outage had no server either.

The state now carries the lapsed entries apart from the listed ones, and how long ago the outage ended, as the reports of readers do. The receiver keeps them until the grace period of the sender ends.

The tests test_servers_stay_in_use and test_started_instance_uses_them failed before: 0 of 2 servers were usable after the fetch.

--- a/libs/citronshelf_instance/citronshelf_instance/configuration.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration.py
@@ -1,8 +1,11 @@
 """Published routes, services, limits and registrations."""
 
 from collections.abc import Mapping
+from typing import Annotated
 from typing import NamedTuple
 
+import msgspec
+
 from citronshelf_common import fleet
 
 
@@ -124,11 +127,18 @@
     configuration : Configuration or None
         None before the first publication, or when it cannot be read.
     registrations : tuple of Registration
+    lapsed : tuple of Registration
+        Entries that are missing since an outage of the store and may return.
+    recovered_ago_s : float or None
+        Seconds since the end of that outage, while entries may return; None
+        otherwise.
     """
 
     revision: int
     configuration: Configuration | None
     registrations: tuple[Registration, ...]
+    lapsed: tuple[Registration, ...] = ()
+    recovered_ago_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
 
 
 class Changes(NamedTuple):
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -135,7 +135,11 @@
     def snapshot(self) -> configuration.Snapshot:
         """Return the state for an instance that cannot read the store."""
         return configuration.Snapshot(
-            self.revision, self.configuration, self.directory.snapshot()
+            self.revision,
+            self.configuration,
+            self.directory.listed(),
+            self.directory.lapsed(),
+            self.directory.recovered_ago_s(),
         )
 
     async def wait_routable(self, wait_s: float) -> bool:
--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -150,9 +150,13 @@
         """Replace all entries with those of a snapshot.
 
         Servers that are missing from it may stay for the grace period; see
-        ``remove``.
+        ``remove``. So do the lapsed entries of the snapshot.
         """
+        if snapshot.recovered_ago_s is not None:
+            self.record_store_recovery(snapshot.recovered_ago_s)
         listed = {entry.server_id: entry for entry in snapshot.registrations}
+        for registration in snapshot.lapsed:
+            self.add_or_update(registration)
         for server_id in [s for s in self.servers if s not in listed]:
             self.remove(server_id)
         for registration in listed.values():
@@ -303,10 +307,18 @@
             source=source,
         )
 
-    def snapshot(self) -> tuple[configuration.Registration, ...]:
+    def listed(self) -> tuple[configuration.Registration, ...]:
         """Return all entries that have not lapsed."""
         return tuple(
             state.registration
             for state in self.servers.values()
             if state.lapsed_until_s is None
         )
+
+    def lapsed(self) -> tuple[configuration.Registration, ...]:
+        """Return the lapsed entries that may still return."""
+        return tuple(
+            state.registration
+            for state in self.servers.values()
+            if state.lapsed_until_s is not None
+        )
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -480,3 +480,60 @@
             return group.instances[1].state.revision
 
         assert asyncio.run(run()) == 9
+
+
+class TestStateAfterOutage:
+    """Entries that lapsed in an outage of the store may still return.
+
+    Guards against an instance without any server: it fetched the state from
+    one that had read that all entries had lapsed.
+    """
+
+    def fetch(self, clock, prepare=lambda group: None, grace_s=0.0):
+        """Return the state of an instance after it fetched from others.
+
+        The others have read, after an outage, that all entries lapsed.
+        """
+
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            for number in (2, 4, 5):
+                state = group.instances[number].state
+                state.directory.record_store_recovery()
+                state.apply(
+                    configuration.Changes(9, None, {'s1': None, 's2': None})
+                )
+            prepare(group)
+            clock.advance(0.5)
+            group.instances[1].fetch_state()
+            await asyncio.sleep(0.02)
+            clock.advance(grace_s)
+            state = group.instances[1].state
+            state.directory.drop_lapsed()
+            return state
+
+        return asyncio.run(run())
+
+    def test_servers_stay_in_use(self, clock):
+        state = self.fetch(clock)
+        assert state.revision == 9
+        assert len(state.directory.usable('ledger')) == 2
+
+    def test_started_instance_uses_them(self, clock):
+        def restart(group):
+            one = group.instances[1]
+            fresh = registrations.Directory(clock=clock)
+            one.state = published.PublishedState(
+                directory=fresh, clock=clock, rng=random.Random(1)
+            )
+
+        state = self.fetch(clock, restart)
+        assert state.is_routable()
+        assert len(state.directory.usable('ledger')) == 2
+
+    def test_servers_leave_when_the_grace_period_of_the_sender_ends(
+        self, clock
+    ):
+        grace_s = registrations.LAPSED_GRACE_S - 0.5
+        assert self.fetch(clock, grace_s=grace_s).directory.servers == {}
