peers: reach an instance that restarted after a loss of power

Callers of instances that came back from a loss of power while the store was down got 503 (no configuration) until the store was back, although other instances had the state.

Replies went over the sender's own connection to the address. After a loss of power nobody closes the connection to the previous process; it stays until a retransmission is answered with a reset, and retransmissions back off. Until then heartbeats, evidence, reports and states to the new process got lost.

Replies to Join and FetchState now take the connection by which the request arrived. When a member is reported with another nonce, the connection to its previous process is dropped, so that the next message opens a new one.

--- a/libs/citronshelf_instance/citronshelf_instance/membership.py
+++ b/libs/citronshelf_instance/citronshelf_instance/membership.py
@@ -92,6 +92,11 @@
         known.last_received_s = last_received_s
         return False
 
+    def known_member(self, instance: str) -> peer_messages.Member | None:
+        """Return a member by its name, or None if it is unknown."""
+        known = self.known.get(instance)
+        return known.member if known is not None else None
+
     def remove(self, instance: str) -> None:
         """Remove an instance that left or expired."""
         known = self.known.pop(instance, None)
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -219,6 +219,16 @@
         self.links.connect(address)
         return self.links.send(address, peer_messages.CODEC.encode(message))
 
+    def reply(self, route, message) -> bool:
+        """Send a message on the connection by which a request arrived.
+
+        The own connection to a restarted instance may still lead to its
+        previous process. Returns False as ``send`` does.
+        """
+        if self.has_left:
+            return False
+        return self.links.send(route, peer_messages.CODEC.encode(message))
+
     def receive(self, route, data: bytes) -> None:
         """Decode and handle a message.
 
@@ -240,19 +250,36 @@
             self.members.remove(message.sender.instance)
             self.links.disconnect(message.sender.address)
             return
-        self.members.record_message(message.sender)
-        self.handle(message)
+        self.record_member(message.sender, self.members.record_message)
+        self.handle(message, route)
+
+    def record_member(self, member: peer_messages.Member, record) -> None:
+        """Record a member; drop the connection to its previous process.
+
+        Parameters
+        ----------
+        member : Member
+        record : callable
+            ``record_message`` or ``record_member`` of the members.
+        """
+        before = self.members.known_member(member.instance)
+        record(member)
+        after = self.members.known_member(member.instance)
+        if before is not None and after.nonce != before.nonce:
+            self.links.disconnect(before.address)
 
-    def handle(self, message) -> None:
+    def handle(self, message, route) -> None:
         """Handle a message whose sender has been recorded as a member."""
         match message:
             case peer_messages.Join():
+                # Messages are dropped until a new connection is established.
+                self.links.connect(message.sender.address)
                 reply = self.make_heartbeat(peer_messages.MAX_MEMBERS)
-                self.send(message.sender.address, reply)
+                self.reply(route, reply)
                 self.on_peer_revision(message.revision)
             case peer_messages.Heartbeat():
                 for member in message.members:
-                    self.members.record_member(member)
+                    self.record_member(member, self.members.record_member)
                 self.on_peer_revision(message.revision)
             case peer_messages.Evidence():
                 for observation in message.observations:
@@ -263,7 +290,7 @@
             case peer_messages.ReaderReport():
                 self.handle_report(message)
             case peer_messages.FetchState():
-                self.send_state(message)
+                self.send_state(message, route)
             case peer_messages.StateCopy():
                 self.apply_state_copy(message)
 
@@ -275,14 +302,14 @@
         self.state.apply_delta(message.delta)
         self.on_peer_revision(max(message.revision, message.delta.after))
 
-    def send_state(self, message: peer_messages.FetchState) -> None:
+    def send_state(self, message: peer_messages.FetchState, route) -> None:
         """Reply with the published state if the requester's is older.
 
         An instance that cannot route requests itself does not reply.
         """
         if self.state.revision > message.revision and self.state.is_routable():
             copy = peer_messages.StateCopy(self.own, self.state.snapshot())
-            self.send(message.sender.address, copy)
+            self.reply(route, copy)
 
     def apply_state_copy(self, message: peer_messages.StateCopy) -> None:
         """Apply the published state of a peer if its revision is newer."""
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from typing import NamedTuple
 
 import pytest
 
@@ -18,12 +19,23 @@
 from instance_builders import make_registration
 
 
+class FakeRoute(NamedTuple):
+    """Connection that an instance opened, at its other end."""
+
+    address: fleet.Address
+
+
 class FakeNetwork:
-    """Delivers messages at once, except from and to unreachable addresses."""
+    """Delivers messages at once, except from and to unreachable addresses.
+
+    On stale connections, which lead to a process that has ended without a
+    close, messages get lost. They are (sender, receiver) addresses.
+    """
 
     def __init__(self):
         self.links = {}
         self.unreachable = set()
+        self.stale = set()
         self.sent = 0
 
 
@@ -40,17 +52,21 @@
         pass
 
     def disconnect(self, address):
-        pass
+        self.network.stale.discard((self.address, address))
 
-    def send(self, address, data):
+    def send(self, route, data):
         network = self.network
+        is_reply = isinstance(route, FakeRoute)
+        address = route.address if is_reply else route
         if network.unreachable & {address, self.address}:
             return False
         network.sent += 1
+        if not is_reply and (self.address, address) in network.stale:
+            return True
         end = network.links.get(address)
         if end is not None:
             asyncio.get_running_loop().call_soon(
-                end.on_message, self.address, data
+                end.on_message, FakeRoute(self.address), data
             )
         return end is not None
 
@@ -537,3 +553,57 @@
     ):
         grace_s = registrations.LAPSED_GRACE_S - 0.5
         assert self.fetch(clock, grace_s=grace_s).directory.servers == {}
+
+
+class TestRestartAfterPowerLoss:
+    """The others' connections to the ended process stay open for seconds.
+
+    Guards against instances that had no configuration for 6 s after a loss
+    of power while the store was down, though the others could send it.
+    """
+
+    async def restart(self, clock):
+        """Return a fleet in which instance 1 has started anew.
+
+        It knows no state, and nobody has noticed that its process ended.
+        """
+        group = Fleet(clock)
+        await group.step(rounds=3)
+        network = group.network
+        old = group.instances[1]
+        one = group.make(1, old.seeds, old.own.address)
+        one.own = one.members.own = one.own._replace(nonce='n2')
+        one.state = published.PublishedState(
+            directory=registrations.Directory(clock=clock),
+            clock=clock,
+            rng=random.Random(1),
+        )
+        group.instances[1] = one
+        network.stale = {
+            (other.own.address, one.own.address)
+            for other in group.instances
+            if other is not one
+        }
+        return group
+
+    def test_state_is_fetched_over_a_new_connection(self, clock):
+        async def run():
+            group = await self.restart(clock)
+            one = group.instances[1]
+            one.send_joins()
+            await asyncio.sleep(0.02)
+            one.fetch_state()
+            await asyncio.sleep(0.02)
+            return one
+
+        one = asyncio.run(run())
+        assert one.members.count() == 6
+        assert one.state.is_routable()
+
+    def test_others_replace_their_connections(self, clock):
+        async def run():
+            group = await self.restart(clock)
+            await group.step(rounds=2)
+            return group.network.stale
+
+        assert asyncio.run(run()) == set()
