store reader: notice a silent store while peers announce changes

An instance to which the store does not respond, while it responds to others, kept its outdated configuration and servers for the whole outage: requests went to servers that had left, new ones got none, and routes that were added got 404.

A watch is abandoned 0.2 to 0.4 s after a peer announces a newer revision. The next call was again one that could be abandoned, and while the instance is behind, each message of a peer announces that again. So no call reached its timeout of 1.5 s, the outage was not noticed, and the state was never fetched from another instance. The same held for a store whose answers take longer than the delay.

A call by an instance that knows that it is behind does not wait for changes and is not abandoned: its answer comes at once, or its timeout shows the outage. If the answer lacks the announced change, the next call follows after the delay.

TestSilentStore.test_state_is_fetched_from_peers failed before: after 100 announcements in 0.2 s the store counted as reachable and nothing was fetched. The other test guards the pause.

--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -164,30 +164,23 @@
     async def watch(self) -> None:
         """Wait for changes once and apply them.
 
-        The call is abandoned if a peer has known a newer revision for a while.
         After a change, the reader pauses for ``PAUSE_AFTER_CHANGE_S``.
         """
         self.calls += 1
         # After an outage the store is polled without a wait: it responds at
         # once when it is back, but a call that waits for changes might hang
-        # past its recovery. An instance that follows readers only catches up.
-        may_wait = self.is_reachable and not self.group.is_covered()
+        # past its recovery. An instance that follows readers, or knows that
+        # it has missed a change, only catches up.
+        may_wait = (
+            self.is_reachable
+            and not self.group.is_covered()
+            and not self.is_behind()
+        )
         wait_s = self.draw_wait_s() if may_wait else 0.0
         after = self.state.revision
-        watching = asyncio.ensure_future(self.store.watch(after, wait_s))
-        outdated = asyncio.ensure_future(self.wait_outdated())
-        try:
-            await asyncio.wait(
-                {watching, outdated}, return_when=asyncio.FIRST_COMPLETED
-            )
-        finally:
-            outdated.cancel()
-            if not watching.done():
-                watching.cancel()
-        if not watching.done() or watching.cancelled():
-            # The next watch starts from the revision that is known by then.
+        changed = await self.call_watch(after, wait_s)
+        if changed is None:
             return
-        changed = watching.result()
         if changed.is_error():
             await self.handle_fault(changed.error)
             return
@@ -197,6 +190,27 @@
         if changed.ok.registrations or changed.ok.configuration:
             self.send_report(make_delta(after, changed.ok))
             await asyncio.sleep(PAUSE_AFTER_CHANGE_S)
+        elif self.is_behind():
+            await asyncio.sleep(OUTDATED_DELAY_S * self.rng.uniform(1, 2))
+
+    async def call_watch(self, after: int, wait_s: float) -> Result | None:
+        """Call the store for changes.
+
+        Returns None if the call was abandoned because a peer has known a newer
+        revision for a while. The next call then starts from the revision that
+        is known by that time. A call without a wait is never abandoned, so
+        that its timeout shows an outage.
+        """
+        watching = asyncio.ensure_future(self.store.watch(after, wait_s))
+        waiters = {watching}
+        if wait_s > 0:
+            waiters.add(asyncio.ensure_future(self.wait_outdated()))
+        try:
+            await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
+            return watching.result() if watching.done() else None
+        finally:
+            for waiter in waiters:
+                waiter.cancel()
 
     def draw_wait_s(self) -> float:
         """Return a random wait in seconds for the next watch."""
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -163,6 +163,55 @@
         assert len(fetches) == before + 1
 
 
+class SilentStore(ScriptedStore):
+    """Store whose watches time out, some time after their wait."""
+
+    async def watch(self, after, wait_s):
+        self.watched.append(after)
+        await asyncio.sleep(wait_s + 0.04)
+        return Error(UNREACHABLE)
+
+
+class DeafStore(ScriptedStore):
+    """Store whose watches return nothing when their wait ends."""
+
+    async def watch(self, after, wait_s):
+        self.watched.append(after)
+        await asyncio.sleep(wait_s)
+        return Ok(configuration.Changes(after, None, {}))
+
+
+class TestSilentStore:
+    """A store that stops responding while peers announce newer changes.
+
+    Guards against an instance that abandoned each call before its timeout:
+    it did not notice the outage, kept its outdated state and fetched none.
+    """
+
+    def run_while_peers_announce(self, clock, store):
+        def announce(reader):
+            async def repeat():
+                while True:
+                    reader.handle_peer_revision(4)
+                    await asyncio.sleep(0.002)
+
+            reader.announcing = asyncio.create_task(repeat())
+
+        return read_with(store, clock, announce)
+
+    def test_state_is_fetched_from_peers(self, clock):
+        store = SilentStore([snapshot(3)])
+        reader, fetches = self.run_while_peers_announce(clock, store)
+        assert not reader.is_reachable
+        assert fetches
+
+    def test_missed_change_is_not_asked_for_in_a_tight_loop(self, clock):
+        """A watch may return nothing for a while though peers know more."""
+        store = DeafStore([snapshot(3)])
+        self.run_while_peers_announce(clock, store)
+        assert len(store.watched) <= 0.2 / store_reader.OUTDATED_DELAY_S + 2
+
+
 class TestFollowing:
     """An instance that follows readers calls the store only if it must."""
 
