--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -9,6 +9,7 @@
 from citronshelf_entry import exchange
 from citronshelf_entry import headers
 from citronshelf_entry import upstream
+from citronshelf_instance import caller_request
 from citronshelf_instance import configuration
 from citronshelf_instance import events
 from citronshelf_instance import evidence
@@ -25,6 +26,7 @@
 # if the response has the server's not-run header or status 421.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 MISDIRECTED_STATUS = 421
+MAX_STATUS = 599
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -37,7 +39,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ServerErrorResult:
-    """A complete response with a status of 500 or higher, except 503."""
+    """A complete response with a status from 500 to 599, except 503."""
 
     response: outcomes.Response
     kind: str = 'server-failed'
@@ -62,9 +64,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LostResult:
-    """The work may have run, but there is no response to pass on."""
+    """The work may have run, but there is no response to pass on.
+
+    Attributes
+    ----------
+    reason : str
+    status : int
+        Status of a response that was rejected; 0 without a response.
+    """
 
     reason: str
+    status: int = 0
     kind: str = 'lost'
 
 
@@ -192,11 +202,13 @@
                 reason='another-server', refused_by_server=True
             )
         if head.status in NOT_RUN_STATUSES:
-            return LostResult(reason=f'unproved-{head.status}')
-        signed = headers.first_of(head.headers, names.signature.lower())
-        encoded = headers.first_of(head.headers, 'content-encoding')
-        if head.status < 300 and (not signed or encoded):
-            return LostResult(reason='not-the-servers-answer')
+            return LostResult(
+                reason=f'unproved-{head.status}', status=head.status
+            )
+        if not is_from_server(head, names):
+            return LostResult(
+                reason='not-the-servers-answer', status=head.status
+            )
         response = outcomes.Response(
             status=head.status, headers=head.headers, body=body
         )
@@ -280,9 +292,36 @@
             server=self.server.server_id,
             result=result.kind if result else 'cancelled',
             reason=getattr(result, 'reason', ''),
-            status=result.response.status
-            if hasattr(result, 'response')
-            else 0,
+            status=received_status(result),
             sent=self.is_sent(),
             elapsed_ms=round(elapsed_s * 1000, 1),
         )
+
+
+def received_status(result: Result | None) -> int:
+    """Return the status that the server's response had, or 0."""
+    match result:
+        case GoodResult() | ServerErrorResult():
+            return result.response.status
+        case LostResult():
+            return result.status
+        case _:
+            return 0
+
+
+def is_from_server(
+    head: exchange.ResponseHead, names: caller_request.HeaderNames
+) -> bool:
+    """Return whether a server gave this response.
+
+    Another program at the address of a server that has ended does not sign
+    its responses. Server errors need no signature: they promise the caller
+    nothing, whichever program sent them.
+    """
+    if 500 <= head.status <= MAX_STATUS:
+        return True
+    signed = headers.first_of(head.headers, names.signature.lower())
+    if head.status > MAX_STATUS or not signed:
+        return False
+    encoded = headers.first_of(head.headers, 'content-encoding')
+    return head.status >= 300 or not encoded
