entry: limit the framing of a chunked body

Callers saw: a request whose server sends a chunk extension, spaces after a chunk size or tiny chunks without an end was held until its deadline (504) instead of going to another server, or of failing at once where it must run once.

Cause: libcurl passes neither chunk sizes nor extensions to the callbacks of the head and the body, so no limit counted them. One-byte chunks cost one callback for each byte: the limit of 32 MB was not reached within a deadline.

Fix: libcurl's debug callback, which is set already, gets the bytes as they were received. Those that do not belong to the body are limited to 512 KiB and an eighth of the body. Trailers count like lines of the head.

--- a/libs/citronshelf_entry/citronshelf_entry/exchange.py
+++ b/libs/citronshelf_entry/citronshelf_entry/exchange.py
@@ -18,6 +18,12 @@
 PAUSE_THRESHOLD_BYTES = 2 * STREAM_THRESHOLD_BYTES
 MAX_HEAD_BYTES = 32 * 1024
 MAX_HEAD_LINES = 200
+# Chunk sizes, chunk extensions and trailers may have this many bytes and, on
+# top, one for every ``BODY_BYTES_PER_FRAMING_BYTE`` of the body. Chunks of 60
+# bytes or more stay within that; smaller ones cost more processor time than
+# they are worth once there are 100,000 of them.
+MAX_FRAMING_BYTES = 512 * 1024
+BODY_BYTES_PER_FRAMING_BYTE = 8
 
 # Reason recorded when ``may_send`` prevents the request from being written.
 SEND_WITHDRAWN = 'view-not-fresh'
@@ -113,6 +119,7 @@
         self.ended = False
         self.sent_bytes = 0
         self.received_bytes = 0
+        self.raw_bytes = 0
         self.buffered_bytes = 0
         self.paused = False
         self.chunks: collections.deque[bytes] = collections.deque()
@@ -136,14 +143,32 @@
         return pycurl.PREREQFUNC_OK
 
     def on_debug(self, kind: int, text: bytes) -> None:
-        """Detect surplus bytes; libcurl's ``DEBUGFUNCTION``.
+        """Detect bytes that libcurl drops; libcurl's ``DEBUGFUNCTION``.
 
-        libcurl drops bytes that it read beyond the declared length and
-        reports success; only its trace output mentions them.
+        Only its trace output has the framing of a chunked body, and mentions
+        bytes beyond the declared length, after which it reports success.
         """
-        if kind == pycurl.INFOTYPE_TEXT and text.startswith(SURPLUS_TRACE):
+        if kind == pycurl.INFOTYPE_DATA_IN:
+            self.limit_framing(len(text))
+        elif kind == pycurl.INFOTYPE_TEXT and text.startswith(SURPLUS_TRACE):
             self.record_surplus()
 
+    def limit_framing(self, raw_bytes: int) -> None:
+        """Count bytes after the head; abort if too few belong to the body.
+
+        libcurl ignores the result of its ``DEBUGFUNCTION``, so the transfer
+        is aborted after its callbacks have returned.
+        """
+        self.raw_bytes += raw_bytes
+        framing_bytes = self.raw_bytes - self.received_bytes
+        allowed_bytes = (
+            MAX_FRAMING_BYTES
+            + self.received_bytes // BODY_BYTES_PER_FRAMING_BYTE
+        )
+        if framing_bytes > allowed_bytes and not self.refusal:
+            self.refuse('oversized-framing')
+            asyncio.get_running_loop().call_soon(self.cancel)
+
     def record_surplus(self) -> None:
         """Reject a response with surplus bytes unless the rules allow it."""
         if not self.rules.ignore_surplus:
@@ -152,17 +177,17 @@
     def on_header_line(self, line: bytes) -> int | None:
         """Collect one line of the head; libcurl's ``HEADERFUNCTION``.
 
-        Lines after the head, such as trailers, are ignored. An oversized head
-        is rejected.
+        Lines after the head, such as trailers, are dropped. A response with an
+        oversized head is rejected; interim responses and trailers count.
         """
-        if self.head is not None:
-            return None
         self.head_bytes += len(line)
         if (
             self.head_bytes > MAX_HEAD_BYTES
             or len(self.lines) > MAX_HEAD_LINES
         ):
             return self.refuse('oversized-head')
+        if self.head is not None:
+            return None
         text = line.decode('latin-1').rstrip('\r\n')
         if text.startswith('HTTP/') and not self.lines:
             self.lines = [text]
--- a/libs/citronshelf_entry/tests/test_upstream.py
+++ b/libs/citronshelf_entry/tests/test_upstream.py
@@ -173,6 +173,39 @@
         assert received == size
 
 
+def chunked_response(chunk_bytes, chunks):
+    """Return a response with chunks of equal size."""
+    chunk = b'%x\r\n%b\r\n' % (chunk_bytes, b'x' * chunk_bytes)
+    return b'%bTransfer-Encoding: chunked\r\n\r\n%b0\r\n\r\n' % (
+        HEAD,
+        chunk * chunks,
+    )
+
+
+class TestFraming:
+    """The framing of a chunked body is limited in proportion to the body.
+
+    Guards against a limit that rejects complete responses.
+    """
+
+    @pytest.mark.parametrize(
+        'chunk_bytes, chunks', [(1, 20_000), (64, 120_000), (16_384, 600)]
+    )
+    def test_response_in_many_chunks_is_complete(
+        self, raw_server, scripts, upstream_request, chunk_bytes, chunks
+    ):
+        data = chunked_response(chunk_bytes, chunks)
+        result, _ = exchange_with(raw_server, scripts(data), upstream_request)
+        assert len(result[1]) == chunk_bytes * chunks
+
+    def test_response_that_is_mostly_framing_is_refused(
+        self, raw_server, scripts, upstream_request
+    ):
+        data = chunked_response(1, 200_000)
+        result, _ = exchange_with(raw_server, scripts(data), upstream_request)
+        assert result.reason == 'oversized-framing'
+
+
 class TestSentOnce:
     """libcurl resends a request if its reused connection was closed."""
 
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_endless_responses.py
@@ -0,0 +1,182 @@
+"""Tests of servers that send bytes without an end, over real sockets."""
+
+import asyncio
+import time
+
+import pytest
+
+from citronshelf_common import outcomes
+import endless_streams
+import test_forwarding
+
+# Half of the time that a caller waits, so that another server has the rest.
+KNOWN_WITHIN_S = 2.0
+TIMEOUT_S = 2 * KNOWN_WITHIN_S
+# A server must not be at work for longer than this after the request ended.
+CLOSE_WITHIN_S = 0.5
+# No response is overdue before the request times out, so that only the end of
+# the first exchange makes the forwarder use another server.
+NEVER_OVERDUE_S = 10.0
+SLOW_PAUSE_S = 0.05
+
+INVALID = pytest.mark.parametrize('name', list(endless_streams.INVALID))
+SURPLUS = pytest.mark.parametrize('name', list(endless_streams.SURPLUS))
+
+
+class EndlessServers(test_forwarding.ScriptedServers):
+    """Scripted servers that send a ``Stream`` until the connection closes.
+
+    Attributes
+    ----------
+    pause_s : float
+        Time between repetitions of a stream.
+    closed_s : list of float
+        Times at which senders of streams noticed the close.
+    """
+
+    pause_s = 0.0
+
+    def __init__(self, scripts):
+        super().__init__(scripts)
+        self.closed_s = []
+
+    async def serve(self, number, reader, writer):
+        script = self.scripts[number]
+        if not isinstance(script, endless_streams.Stream):
+            await super().serve(number, reader, writer)
+            return
+        head = await reader.readuntil(b'\r\n\r\n')
+        self.heads.append((number, head.decode()))
+        closed_s = await endless_streams.send(
+            writer, script, b'X-Signature: s', self.pause_s
+        )
+        self.closed_s.append(closed_s)
+        writer.close()
+
+
+class EndlessHarness(test_forwarding.Harness):
+    """Forwarder to servers of which the first sends without an end."""
+
+    def __init__(self, stream, *, pause_s=0.0):
+        super().__init__(stream, test_forwarding.GOOD)
+        self.servers = EndlessServers([stream, test_forwarding.GOOD])
+        self.servers.pause_s = pause_s
+
+    async def run(self, *, timeout_s=TIMEOUT_S, **route):
+        request = test_forwarding.make_request(deadline_s=timeout_s)
+        return await super().run(
+            request,
+            timeout_s=timeout_s,
+            target_latency_s=NEVER_OVERDUE_S,
+            **route,
+        )
+
+
+async def closed_after(servers, ended_s):
+    """Return the seconds until the server noticed the close."""
+    async with asyncio.timeout(TIMEOUT_S):
+        while not servers.closed_s:
+            await asyncio.sleep(0.01)
+    return servers.closed_s[0] - ended_s
+
+
+def forward(stream, **route):
+    """Forward a request.
+
+    Returns the outcome, the seconds until it was known, the seconds from then
+    until the server noticed the close, and the servers that were used.
+    """
+
+    async def run():
+        async with EndlessHarness(stream) as harness:
+            started_s = time.monotonic()
+            outcome = await harness.run(**route)
+            ended_s = time.monotonic()
+            close_s = await closed_after(harness.servers, ended_s)
+            used = [number for number, _ in harness.servers.heads]
+            return outcome, ended_s - started_s, close_s, used
+
+    return asyncio.run(run())
+
+
+class TestInvalidResponses:
+    """No valid response can come; the request ends as soon as that shows.
+
+    Guards against requests that were held until their deadline.
+    """
+
+    @INVALID
+    def test_idempotent_request_gets_response_of_another_server(self, name):
+        outcome, known_s, _, used = forward(endless_streams.INVALID[name])
+        assert (outcome.status, outcome.body) == (200, b'ok')
+        assert known_s < KNOWN_WITHIN_S
+        assert used == [0, 1]
+
+    @INVALID
+    def test_non_idempotent_request_ends_without_a_retry(self, name):
+        outcome, known_s, _, used = forward(
+            endless_streams.INVALID[name], idempotent=False
+        )
+        assert isinstance(outcome, outcomes.Unknown)
+        assert outcome.reason != 'timeout'
+        assert known_s < KNOWN_WITHIN_S
+        assert used == [0]
+
+    @INVALID
+    def test_connection_is_closed(self, name):
+        _, _, close_s, _ = forward(
+            endless_streams.INVALID[name], idempotent=False
+        )
+        assert close_s < CLOSE_WITHIN_S
+
+
+class TestSurplus:
+    """Surplus bytes after a complete response belong to no request.
+
+    Guards against a complete response that is lost, or held, or mixed with
+    what follows it.
+    """
+
+    @SURPLUS
+    @pytest.mark.parametrize('idempotent', [True, False])
+    def test_response_is_passed_on_and_connection_closed(
+        self, name, idempotent
+    ):
+        outcome, known_s, close_s, used = forward(
+            endless_streams.SURPLUS[name], idempotent=idempotent
+        )
+        assert (outcome.status, outcome.body) == (200, b'ok')
+        assert known_s < KNOWN_WITHIN_S
+        assert close_s < CLOSE_WITHIN_S
+        assert used == [0]
+
+
+class TestSlowStreams:
+    """Streams so slow that they are still going on when the request ends."""
+
+    @INVALID
+    def test_connection_is_closed_at_the_deadline(self, name):
+        async def run():
+            stream = endless_streams.INVALID[name]
+            slow = stream._replace(repeated=stream.repeated[:6])
+            async with EndlessHarness(slow, pause_s=SLOW_PAUSE_S) as harness:
+                outcome = await harness.run(timeout_s=0.4, idempotent=False)
+                close_s = await closed_after(harness.servers, time.monotonic())
+            return outcome, close_s
+
+        outcome, close_s = asyncio.run(run())
+        assert isinstance(outcome, outcomes.Unknown)
+        assert close_s < CLOSE_WITHIN_S
+
+    @INVALID
+    def test_connection_is_closed_when_the_caller_disconnects(self, name):
+        async def run():
+            stream = endless_streams.INVALID[name]
+            slow = stream._replace(repeated=stream.repeated[:6])
+            async with EndlessHarness(slow, pause_s=SLOW_PAUSE_S) as harness:
+                task = asyncio.create_task(harness.run(idempotent=False))
+                await asyncio.sleep(0.2)
+                task.cancel()
+                return await closed_after(harness.servers, time.monotonic())
+
+        assert asyncio.run(run()) < CLOSE_WITHIN_S
