entry: stop reading tiny chunks sooner

Callers saw: beside 16 streams of one-byte chunks in a row, sound downloads of 540 KB ended with 504 or 503.

Cause: each chunk costs a callback of about 1 us, and libcurl reads up to ten buffers in one event, so with 512 KiB of framing one stream took 0.1 s of processor time before it was refused; the chunks of the rest of such a read were stored even after the refusal.

Fix: 128 KiB of framing (26,000 chunks of one byte), and the body callback aborts once the response is refused.

--- a/libs/citronshelf_entry/citronshelf_entry/exchange.py
+++ b/libs/citronshelf_entry/citronshelf_entry/exchange.py
@@ -20,9 +20,9 @@
 MAX_HEAD_LINES = 200
 # Chunk sizes, chunk extensions and trailers may have this many bytes and, on
 # top, one for every ``BODY_BYTES_PER_FRAMING_BYTE`` of the body. Chunks of 60
-# bytes or more stay within that; smaller ones cost more processor time than
-# they are worth once there are 100,000 of them.
-MAX_FRAMING_BYTES = 512 * 1024
+# bytes or more stay within that. Smaller ones cost much processor time, about
+# 1 us each, which other exchanges wait for.
+MAX_FRAMING_BYTES = 128 * 1024
 BODY_BYTES_PER_FRAMING_BYTE = 8
 
 # Reason recorded when ``may_send`` prevents the request from being written.
@@ -256,6 +256,8 @@
         """
         if self.head is None:
             return self.refuse('malformed-answer')
+        if self.refusal:
+            return 0
         if self.received_bytes + len(data) > self.max_response_bytes:
             return self.refuse('answer-too-large')
         if self.buffered_bytes >= PAUSE_THRESHOLD_BYTES:
