instance: limit the bytes held for all responses

Callers saw: 16 endless answers at once took an instance from 48 MB to 549 to 557 MB; machines have 200 MB, so the process is killed with all its requests.

Cause: an answer is held until it is whole, at most 32 MB each, and nothing limited all of them. Small chunks were kept as objects of their own, and the parts of a body were joined twice.

Fix: one limit for the process, a quarter of its memory (instance.memory_mb, from the platform's limits.memory-mb; 200 where absent), and half of that for a single answer. Above it the answer that holds most ends with answer-memory-full (event 1921, metric responses_dropped): a stream without an end becomes the largest, and those without a declared length count four times. An idempotent request then goes to another server; one that must run once is answered 502 at once. Pieces of a body are kept in segments of 64 KiB.

--- a/libs/citronshelf_entry/citronshelf_entry/exchange.py
+++ b/libs/citronshelf_entry/citronshelf_entry/exchange.py
@@ -1,15 +1,16 @@
 """One request to one backend server and its response."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 from typing import NamedTuple
 
 import pycurl
 
 from citronshelf_common import fleet
+from citronshelf_entry import body_buffer
 from citronshelf_entry import classify
 from citronshelf_entry import headers
+from citronshelf_entry import response_memory
 
 # A response up to this size is buffered until it is known to be complete; a
 # larger one is streamed to the caller. The transfer is paused while twice as
@@ -27,6 +28,8 @@
 
 # Reason recorded when ``may_send`` prevents the request from being written.
 SEND_WITHDRAWN = 'view-not-fresh'
+# Reason recorded when the response is ended for the memory of all responses.
+MEMORY_FULL = 'answer-memory-full'
 SURPLUS_TRACE = b'Excess found'
 BODILESS_STATUSES = frozenset({204, 304})
 
@@ -92,6 +95,8 @@
         is established, and again before a resend. If it returns False, the
         request is not written and the exchange fails.
     rules : ResponseRules
+    memory : ResponseMemory or None
+        Counts the buffered bytes and can end the exchange.
     """
 
     def __init__(
@@ -103,8 +108,10 @@
         once: bool,
         may_send: Callable[[], bool],
         rules: ResponseRules = ResponseRules(),
+        memory: response_memory.ResponseMemory | None = None,
     ):
         self.rules = rules
+        self.memory = memory
         self.method = method
         self.request_id = request_id
         self.max_response_bytes = max_response_bytes
@@ -120,9 +127,9 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self.raw_bytes = 0
-        self.buffered_bytes = 0
+        self.buffer = body_buffer.BodyBuffer()
+        self.collecting = False
         self.paused = False
-        self.chunks: collections.deque[bytes] = collections.deque()
         self.lines: list[str] = []
         self.head_bytes = 0
         self.changed = asyncio.Event()
@@ -251,8 +258,9 @@
     def on_body(self, data: bytes) -> int | None:
         """Buffer bytes of the body; libcurl's ``WRITEFUNCTION``.
 
-        Pauses the transfer while at least ``PAUSE_THRESHOLD_BYTES`` are
-        buffered. A body above ``max_response_bytes`` is rejected.
+        Unless the whole body is being collected, pauses the transfer while at
+        least ``PAUSE_THRESHOLD_BYTES`` are buffered. A body above
+        ``max_response_bytes`` is rejected.
         """
         if self.head is None:
             return self.refuse('malformed-answer')
@@ -260,15 +268,38 @@
             return 0
         if self.received_bytes + len(data) > self.max_response_bytes:
             return self.refuse('answer-too-large')
-        if self.buffered_bytes >= PAUSE_THRESHOLD_BYTES:
+        if not self.collecting and self.buffer.size >= PAUSE_THRESHOLD_BYTES:
             self.paused = True
             return pycurl.WRITEFUNC_PAUSE
         self.received_bytes += len(data)
-        self.buffered_bytes += len(data)
-        self.chunks.append(data)
-        self.changed.set()
+        self.buffer.append(data)
+        if self.memory is not None:
+            self.memory.add(self, len(data))
+            if self.refusal == MEMORY_FULL:
+                return 0
+        if not self.collecting:
+            self.changed.set()
         return None
 
+    def has_known_length(self) -> bool:
+        """Return whether the length of the body was declared."""
+        return self.head is not None and self.head.framing.length is not None
+
+    def drop_for_memory(self) -> None:
+        """Drop the buffered bytes and abort the transfer.
+
+        libcurl allows no abort within the callbacks of any transfer, so it
+        follows when they have returned.
+        """
+        self.refuse(MEMORY_FULL)
+        self.buffer.clear()
+        asyncio.get_running_loop().call_soon(self.cancel)
+
+    def release_memory(self) -> None:
+        """Stop counting the buffered bytes of this exchange."""
+        if self.memory is not None:
+            self.memory.release(self)
+
     def end(self, errno: int) -> None:
         """Conclude the exchange after libcurl has finished.
 
@@ -316,18 +347,21 @@
 
     def fail(self, failure: classify.Failure) -> None:
         """End the exchange without a complete response."""
+        self.buffer.clear()
+        self.release_memory()
         self.failure = failure
         self.ended = True
         self.changed.set()
 
     def cancel(self) -> bool:
-        """Abort a running exchange.
+        """Abort a running exchange; the response is not needed any more.
 
         Returns
         -------
         bool
             True if it was still running.
         """
+        self.release_memory()
         if self.ended or self.curl is None:
             return False
         self.abort(self.curl)
@@ -359,20 +393,23 @@
             After a failure, bytes that arrived before it are not returned.
         """
         while not self.ended and (
-            self.buffered_bytes < min_bytes or self.is_end_unconfirmed()
+            self.buffer.size < min_bytes or self.is_end_unconfirmed()
         ):
             self.changed.clear()
             await self.changed.wait()
         if self.failure is not None:
             return self.failure
-        data = b''.join(self.chunks)
-        self.chunks.clear()
-        self.buffered_bytes = 0
+        data = self.take_buffered()
         if self.ended:
             return Part(data, True)
         self.resume()
         return Part(data, False)
 
+    def take_buffered(self) -> bytes:
+        """Remove and return the buffered bytes, which are counted no more."""
+        self.release_memory()
+        return self.buffer.take()
+
     def is_end_unconfirmed(self) -> bool:
         """Return whether all declared bytes arrived before libcurl finished.
 
@@ -386,14 +423,14 @@
 
         It has at most ``max_response_bytes``.
         """
-        parts = []
-        while True:
-            part = await self.read(STREAM_THRESHOLD_BYTES)
-            if isinstance(part, classify.Failure):
-                return part
-            parts.append(part.data)
-            if part.last:
-                return b''.join(parts)
+        self.collecting = True
+        self.resume()
+        while not self.ended:
+            self.changed.clear()
+            await self.changed.wait()
+        if self.failure is not None:
+            return self.failure
+        return self.take_buffered()
 
     def resume(self) -> None:
         """Resume the transfer if it is paused."""
--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -16,6 +16,7 @@
 from citronshelf_entry import classify
 from citronshelf_entry import exchange
 from citronshelf_entry import headers
+from citronshelf_entry import response_memory
 
 CONNECT_TIMEOUT_S = 1.0
 # Each handle uses about 10 KB. The client rejects work beyond this number
@@ -135,9 +136,18 @@
 
 
 class UpstreamClient:
-    """Sends requests to backend servers, cancels them, fetches resources."""
+    """Sends requests to backend servers, cancels them, fetches resources.
 
-    def __init__(self):
+    Parameters
+    ----------
+    memory : ResponseMemory or None
+        Limits the bytes that are held for all responses.
+    """
+
+    def __init__(
+        self, *, memory: response_memory.ResponseMemory | None = None
+    ):
+        self.memory = memory
         self.curl = CurlClient(force_instance=True, max_clients=MAX_EXCHANGES)
         self.cancels = 0
 
@@ -161,6 +171,7 @@
             once=upstream_request.new_connection,
             may_send=upstream_request.may_send,
             rules=upstream_request.rules,
+            memory=self.memory,
         )
         if self.curl.idle_handles() <= 0:
             started.fail(CLIENT_FULL)
--- a/libs/citronshelf_entry/tests/test_upstream.py
+++ b/libs/citronshelf_entry/tests/test_upstream.py
@@ -162,7 +162,7 @@
                 started = client.start(upstream_request(server.address))
                 await started.wait_head()
                 await asyncio.sleep(0.1)
-                held = started.buffered_bytes
+                held = started.buffer.size
                 body = await started.read_whole()
             client.close()
             return held, len(body)
--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -14,10 +14,12 @@
 from citronshelf_common import pages
 from citronshelf_common import settings as common_settings
 from citronshelf_entry import request_head
+from citronshelf_entry import response_memory
 from citronshelf_entry import upstream
 from citronshelf_instance import caller_connection
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
+from citronshelf_instance import dispatch
 from citronshelf_instance import events
 from citronshelf_instance import forwarding
 from citronshelf_instance import membership
@@ -38,6 +40,11 @@
 # peers, the store, and a server connection for every second caller.
 RESERVED_DESCRIPTORS = 600
 MIN_CONNECTIONS = 64
+# Share of the instance's memory for responses, and of that for a single one.
+# The program itself uses about a quarter of the smallest instance, bodies of
+# requests a fifth; the rest is for the sockets and for a copy of one response.
+RESPONSE_MEMORY_SHARE = 0.25
+SINGLE_RESPONSE_SHARE = 0.5
 SETTINGS_POLL_INTERVAL_S = 5.0
 # Requests that arrive while the process starts wait for the first read of the
 # store, which takes about a tenth of this.
@@ -87,7 +94,11 @@
         self.state = published.PublishedState(
             directory=self.directory, clock=clock, rng=self.rng
         )
-        self.client = upstream.UpstreamClient()
+        self.response_memory = response_memory.ResponseMemory(
+            limit_bytes=response_memory_bytes(table),
+            on_drop=self.record_dropped_response,
+        )
+        self.client = upstream.UpstreamClient(memory=self.response_memory)
         self.own = own_member(table)
         self.members = membership.Membership(
             own=self.own, clock=clock, rng=self.rng
@@ -143,8 +154,26 @@
             observe=self.peers.record_observation,
             metrics=self.metrics,
             clock=clock,
+            max_response_bytes=min(
+                dispatch.MAX_RESPONSE_BYTES,
+                int(self.response_memory.limit_bytes * SINGLE_RESPONSE_SHARE),
+            ),
         )
 
+    def record_dropped_response(
+        self, holder: response_memory.Holder, held_bytes: int
+    ) -> None:
+        """Log and count a response that is ended for memory."""
+        log_events.log_event(
+            LOG,
+            events.RESPONSE_DROPPED,
+            request_id=holder.request_id,
+            held_bytes=held_bytes,
+            limit_bytes=self.response_memory.limit_bytes,
+            responses=len(self.response_memory.held),
+        )
+        self.metrics.count('responses_dropped')
+
     def make_server(self) -> caller_connection.CallerServer:
         """Return the server for caller connections."""
         descriptors = self.table['instance']['max_descriptors']
@@ -190,6 +219,11 @@
             'Messages to instances that could not be queued',
             lambda: self.links.dropped,
         )
+        add(
+            'response_bytes',
+            'Bytes held for responses',
+            lambda: self.response_memory.total_bytes,
+        )
         add('log_dropped', 'Dropped lines', lambda: log_output.dropped)
 
     async def serve(self, stopping: asyncio.Event) -> int:
@@ -368,6 +402,12 @@
         )
 
 
+def response_memory_bytes(table: settings.Settings) -> int:
+    """Return the limit on the bytes held for all responses."""
+    memory_mb = table['instance'].get('memory_mb', settings.DEFAULT_MEMORY_MB)
+    return int(memory_mb * 1024 * 1024 * RESPONSE_MEMORY_SHARE)
+
+
 def make_distance_costs(table: settings.Settings) -> placement.DistanceCosts:
     """Return the costs of distance from the settings."""
     costs = table['placement']
--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -135,7 +135,7 @@
             body=self.request.body,
             timeout_s=remaining_s,
             new_connection=True,
-            max_response_bytes=MAX_RESPONSE_BYTES,
+            max_response_bytes=self.forwarder.max_response_bytes,
             may_send=self.may_send,
             own_headers=added_headers,
             connect_timeout_s=CONNECT_TIMEOUT_S,
--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -90,6 +90,12 @@
     logging.WARNING,
     'connection to a server failed; avoiding it for a while',
 )
+RESPONSE_DROPPED = Event(
+    1921,
+    'response-dropped',
+    logging.WARNING,
+    'memory for responses is full; the largest one is ended',
+)
 PEER_FOUND = Event(1930, 'peer-found', logging.INFO, 'instance joined')
 PEER_LOST = Event(1931, 'peer-lost', logging.INFO, 'instance left or expired')
 PEER_MESSAGE_REFUSED = Event(
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -66,6 +66,8 @@
     metrics : InstanceMetrics
     clock : callable
         Monotonic seconds.
+    max_response_bytes : int
+        Larger responses are not passed on.
     """
 
     def __init__(
@@ -79,7 +81,9 @@
         observe,
         metrics,
         clock,
+        max_response_bytes: int = dispatch.MAX_RESPONSE_BYTES,
     ):
+        self.max_response_bytes = max_response_bytes
         self.placer = placer
         self.client = client
         self.names = names
--- a/libs/citronshelf_instance/citronshelf_instance/metrics.py
+++ b/libs/citronshelf_instance/citronshelf_instance/metrics.py
@@ -9,6 +9,7 @@
     'requests': 'Requests of callers, by status',
     'dispatches': 'Dispatches to backend servers, by result',
     'hedges': 'Second dispatches of requests whose answer is overdue',
+    'responses_dropped': 'Responses ended because their memory was full',
     'repeats_denied': 'Repeats that the retry budget did not allow',
 }
 
--- a/libs/citronshelf_instance/citronshelf_instance/settings.py
+++ b/libs/citronshelf_instance/citronshelf_instance/settings.py
@@ -1,6 +1,7 @@
 """Schema of the settings file of an instance."""
 
 from typing import Annotated
+from typing import NotRequired
 from typing import TypedDict
 
 import msgspec
@@ -11,17 +12,27 @@
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
 Loss = Annotated[float, msgspec.Meta(ge=0, le=10)]
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=10)]
+Megabytes = Annotated[float, msgspec.Meta(ge=64)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 
 
+# Memory of the smallest instance of the users.
+DEFAULT_MEMORY_MB = 200.0
+
+
 class InstanceTable(TypedDict):
-    """Name and location; ``max_descriptors`` limits sockets and files."""
+    """Name and location, and the limits of the process.
+
+    ``max_descriptors`` limits sockets and files. The process is killed when
+    it uses more than ``memory_mb``, by default ``DEFAULT_MEMORY_MB``.
+    """
 
     name: Text
     region: Text
     zone: Text
     max_descriptors: Count
+    memory_mb: NotRequired[Megabytes]
 
 
 class ListenTable(TypedDict):
--- a/libs/citronshelf_instance/tests/test_endless_responses.py
+++ b/libs/citronshelf_instance/tests/test_endless_responses.py
@@ -6,6 +6,8 @@
 import pytest
 
 from citronshelf_common import outcomes
+from citronshelf_entry import exchange
+from citronshelf_entry import response_memory
 import endless_streams
 import test_forwarding
 
@@ -18,6 +20,7 @@
 # the first exchange makes the forwarder use another server.
 NEVER_OVERDUE_S = 10.0
 SLOW_PAUSE_S = 0.05
+SMALL_LIMIT_BYTES = 1024 * 1024
 
 INVALID = pytest.mark.parametrize('name', list(endless_streams.INVALID))
 SURPLUS = pytest.mark.parametrize('name', list(endless_streams.SURPLUS))
@@ -47,20 +50,36 @@
             return
         head = await reader.readuntil(b'\r\n\r\n')
         self.heads.append((number, head.decode()))
-        closed_s = await endless_streams.send(
-            writer, script, b'X-Signature: s', self.pause_s
-        )
-        self.closed_s.append(closed_s)
-        writer.close()
+        try:
+            closed_s = await endless_streams.send(
+                writer, script, b'X-Signature: s', self.pause_s
+            )
+            self.closed_s.append(closed_s)
+        finally:
+            writer.close()
 
 
 class EndlessHarness(test_forwarding.Harness):
-    """Forwarder to servers of which the first sends without an end."""
+    """Forwarder to servers of which the first sends without an end.
+
+    Attributes
+    ----------
+    limit_bytes : int
+        Limit on the bytes that are held for all responses.
+    """
 
-    def __init__(self, stream, *, pause_s=0.0):
+    def __init__(self, stream, *, pause_s=0.0, limit_bytes=1 << 30):
         super().__init__(stream, test_forwarding.GOOD)
         self.servers = EndlessServers([stream, test_forwarding.GOOD])
         self.servers.pause_s = pause_s
+        self.limit_bytes = limit_bytes
+
+    async def __aenter__(self):
+        await super().__aenter__()
+        self.client.memory = response_memory.ResponseMemory(
+            limit_bytes=self.limit_bytes
+        )
+        return self
 
     async def run(self, *, timeout_s=TIMEOUT_S, **route):
         request = test_forwarding.make_request(deadline_s=timeout_s)
@@ -180,3 +199,48 @@
                 return await closed_after(harness.servers, time.monotonic())
 
         assert asyncio.run(run()) < CLOSE_WITHIN_S
+
+
+class TestMemoryLimit:
+    """The largest response is ended when the memory of all is used up."""
+
+    STREAM = endless_streams.INVALID['large chunks']
+
+    def forward(self, **route):
+        async def run():
+            async with EndlessHarness(
+                self.STREAM, limit_bytes=SMALL_LIMIT_BYTES
+            ) as harness:
+                outcome = await harness.run(**route)
+                close_s = await closed_after(harness.servers, time.monotonic())
+                return outcome, close_s, harness.client.memory.total_bytes
+
+        return asyncio.run(run())
+
+    def test_idempotent_request_gets_response_of_another_server(self):
+        outcome, close_s, held_bytes = self.forward()
+        assert outcome.body == b'ok'
+        assert close_s < CLOSE_WITHIN_S
+        assert held_bytes == 0
+
+    def test_non_idempotent_request_ends_at_once(self):
+        outcome, close_s, held_bytes = self.forward(idempotent=False)
+        assert outcome == outcomes.Unknown(reason=exchange.MEMORY_FULL)
+        assert close_s < CLOSE_WITHIN_S
+        assert held_bytes == 0
+
+    def test_cancelled_request_holds_nothing(self):
+        async def run():
+            stream = self.STREAM
+            async with EndlessHarness(stream, pause_s=0.01) as harness:
+                memory = harness.client.memory
+                task = asyncio.create_task(harness.run())
+                async with asyncio.timeout(TIMEOUT_S):
+                    while not memory.total_bytes:
+                        await asyncio.sleep(0.01)
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+                await closed_after(harness.servers, time.monotonic())
+                return memory.total_bytes
+
+        assert asyncio.run(run()) == 0
--- a/libs/citronshelf_instance/tests/test_settings.py
+++ b/libs/citronshelf_instance/tests/test_settings.py
@@ -20,9 +20,14 @@
     def test_is_valid(self):
         assert load(EXAMPLE.read_text(encoding='utf-8')).is_ok()
 
+    def test_memory_is_optional(self):
+        text = EXAMPLE.read_text(encoding='utf-8')
+        assert load(text.replace('memory_mb = 300\n', '')).is_ok()
+
     @pytest.mark.parametrize(
         'good, bad, key',
         [
+            ('memory_mb = 300', 'memory_mb = 1', 'instance.memory_mb'),
             ('ratio = 0.2', 'ratio = "much"', 'retries.ratio'),
             ('accept_s = 3.0', 'accept_s = -1', 'shutdown.accept_s'),
             ('"127.0.0.1:8384"', '"store"', 'store.address'),
