--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -1,7 +1,12 @@
 """Tests of caller connections, over real sockets."""
 
 import asyncio
+import itertools
+import socket
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 import pytest
 
 from citronshelf_instance import caller_connection
@@ -90,6 +95,14 @@
     return head, await reader.readexactly(length)
 
 
+async def read_final(reader):
+    """Return the next response that is not an interim one."""
+    while True:
+        head, body = await read_response(reader)
+        if not head.startswith('HTTP/1.1 1'):
+            return head, body
+
+
 class TestOrder:
     """Requests run concurrently, and responses keep their order."""
 
@@ -277,6 +290,63 @@
         assert asyncio.run(run()) == [record]
 
 
+def chunked_bytes(path, method, body, extension, trailer):
+    """Return a request whose body is sent in chunks of up to 300 bytes."""
+    data = request_bytes(path, method, extra='Transfer-Encoding: chunked\r\n')
+    for start in range(0, len(body), 300):
+        chunk = body[start : start + 300]
+        data += b'%X%b\r\n%b\r\n' % (len(chunk), extension, chunk)
+    return data + b'0\r\n' + trailer + b'\r\n'
+
+
+@st.composite
+def proper_requests(draw):
+    """Return the bytes of a request within the limits, and its body."""
+    method = draw(st.sampled_from(['GET', 'POST', 'DELETE', 'PUT']))
+    body = draw(st.sampled_from([b'', b'x', b'\r\n\r\nGET /', b'y' * 1000]))
+    framing = draw(st.sampled_from(['length', 'chunked', 'interim']))
+    if framing == 'chunked':
+        extension = draw(st.sampled_from([b'', b';a=b', b' ; a="b"']))
+        trailer = draw(st.sampled_from([b'', b'T: 1\r\n']))
+        return chunked_bytes('/p', method, body, extension, trailer), body
+    expect = 'Expect: 100-continue\r\n' if framing == 'interim' else ''
+    data = request_bytes('/p', method, body, expect)
+    # Empty lines before a request are ignored.
+    return draw(st.sampled_from([b'', b'\r\n'])) + data, body
+
+
+class TestProperRequests:
+    """No sequence of valid requests on a connection is refused."""
+
+    # Guards against taking a part of one request for the next, which would
+    # end in 400, whatever the framing, the pipelining and the packets.
+    @given(
+        st.lists(proper_requests(), min_size=1, max_size=5),
+        st.lists(st.integers(1, 6000), max_size=5),
+    )
+    @settings(max_examples=100, deadline=None)
+    def test_every_request_gets_its_own_response(self, requests, cuts):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                writer.transport.get_extra_info('socket').setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+                )
+                data = b''.join(one for one, _ in requests)
+                bounds = sorted({0, *cuts, len(data)})
+                for start, end in itertools.pairwise(bounds):
+                    writer.write(data[start:end])
+                    await asyncio.sleep(0.001)
+                return [await read_final(reader) for _ in requests]
+
+        responses = asyncio.run(run())
+        for (head, body), (_, expected) in zip(
+            responses, requests, strict=True
+        ):
+            assert head.startswith('HTTP/1.1 200')
+            assert body == b'/p' + expected
+
+
 class TestLimits:
     """The published limits are the only ones on the size of a request."""
 
