instance: ignore the colon of an empty port in Host

What callers saw: 404 for a Host header such as 'a.example:', which HTTP allows. Cause: only a colon with digits behind it was removed. test_ignores_case_port_and_final_dot_of_the_host failed before (1 of 4 cases).

--- a/libs/citronshelf_instance/citronshelf_instance/routing.py
+++ b/libs/citronshelf_instance/citronshelf_instance/routing.py
@@ -77,6 +77,7 @@
 def normalise_host(host: str) -> str:
     """Return a host in lower case without port and trailing dots."""
     name, colon, port = host.rpartition(':')
-    if colon and port.isdigit():
+    # The port may be empty. An IPv6 address ends with a bracket.
+    if colon and (not port or port.isdigit()):
         host = name
     return host.lower().rstrip('.')
--- a/libs/citronshelf_instance/tests/test_routing.py
+++ b/libs/citronshelf_instance/tests/test_routing.py
@@ -36,9 +36,13 @@
         assert table.match('a.example', '/a/b/c').name == 'long'
         assert table.match('a.example', '/a/bc').name == 'short'
 
-    def test_ignores_case_and_port_of_the_host(self):
+    # The port of a Host header may be empty.
+    @pytest.mark.parametrize(
+        'host', ['A.Example:80', 'a.example.', 'a.example.:8080', 'a.example:']
+    )
+    def test_ignores_case_port_and_final_dot_of_the_host(self, host):
         table = table_of(make_route())
-        assert table.match('A.Example:80', '/a/x').name == 'lookup'
+        assert table.match(host, '/a/x').name == 'lookup'
 
     @pytest.mark.parametrize('path', ['/b/', '/a', '/', '/ab/'])
     def test_finds_nothing_elsewhere(self, path):
