instance: accept request targets in absolute form

What callers saw: 400 for 'GET http://a.example/a/x HTTP/1.1', a form that HTTP/1.1 requires every server to accept. Servers get the path and the query as before. A target of another host than that of the Host header is refused, since recipients could disagree about which one counts. test_reads_a_target_in_absolute_form failed before (3 of 3 cases).

--- a/libs/citronshelf_instance/citronshelf_instance/caller_request.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_request.py
@@ -15,6 +15,9 @@
 MAX_DEADLINE_MS = 3_600_000
 # Ids of heads that were not validated are logged only if they match this.
 REQUEST_ID_PATTERN = re.compile(r'[\x21-\x7e]{1,128}')
+ABSOLUTE_FORM = re.compile(
+    r'http://(?P<host>[^/?#@]+)(?P<rest>[/?][^#]*|)', re.IGNORECASE
+)
 DEADLINE_PATTERN = re.compile(r'[0-9]{1,12}')
 
 
@@ -112,8 +115,6 @@
     if method in request_head.REFUSED_METHODS:
         text = f'method {method} is not supported'
         return Error(request_head.RequestRefusal(501, text))
-    if not target.startswith('/'):
-        return Error(request_head.RequestRefusal(400, 'target is not a path'))
     pairs = tuple(parse_header_line(line) for line in lines)
     framing = headers.framing_of(pairs)
     if framing.is_error():
@@ -122,10 +123,13 @@
     if len(hosts) != 1:
         text = 'exactly one Host header is needed'
         return Error(request_head.RequestRefusal(400, text))
+    path = path_of_target(target, hosts[0])
+    if path is None:
+        return Error(request_head.RequestRefusal(400, 'target is not a path'))
     return Ok(
         RequestHead(
             method=method,
-            target=target,
+            target=path,
             host=hosts[0],
             headers=pairs,
             framing=body_framing(framing.ok),
@@ -143,6 +147,20 @@
     return name, value.strip(' \t')
 
 
+def path_of_target(target: str, host: str) -> str | None:
+    """Return path and query of a target in origin form or absolute form.
+
+    Returns None for other forms and for an absolute form of another host.
+    """
+    if target.startswith('/'):
+        return target
+    absolute = ABSOLUTE_FORM.fullmatch(target)
+    if absolute is None or absolute['host'].lower() != host.lower():
+        return None
+    rest = absolute['rest']
+    return rest if rest.startswith('/') else f'/{rest}'
+
+
 def body_framing(framing: headers.Framing) -> headers.Framing:
     """Return the framing, with length 0 if no body is declared."""
     if framing.length is None and not framing.chunked:
--- a/libs/citronshelf_instance/tests/test_caller_request.py
+++ b/libs/citronshelf_instance/tests/test_caller_request.py
@@ -25,6 +25,20 @@
         assert head.framing.length == 0
         assert head.keep_alive
 
+    # Guards against 400 for a target in absolute form, which HTTP/1.1
+    # requires every server to accept.
+    @pytest.mark.parametrize(
+        'target, expected',
+        [
+            ('http://a.example/a/x?q=/', '/a/x?q=/'),
+            ('HTTP://A.example', '/'),
+            ('http://a.example?q', '/?q'),
+        ],
+    )
+    def test_reads_a_target_in_absolute_form(self, target, expected):
+        head = parse('Host: a.example', start=f'GET {target} HTTP/1.1').ok
+        assert (head.target, head.host) == (expected, 'a.example')
+
     def test_generates_a_missing_request_id(self):
         assert len(parse('Host: a').ok.request_id) == 16
 
@@ -64,6 +78,10 @@
             ('GET / HTTP/1.1', (), 400),
             ('GET / HTTP/1.1', ('Host: a', 'Host: b'), 400),
             ('GET a HTTP/1.1', ('Host: a',), 400),
+            ('GET http://b/ HTTP/1.1', ('Host: a',), 400),
+            ('GET http://u@a/ HTTP/1.1', ('Host: a',), 400),
+            ('GET https://a/ HTTP/1.1', ('Host: a',), 400),
+            ('GET http:///a HTTP/1.1', ('Host: a',), 400),
             ('CONNECT /a HTTP/1.1', ('Host: a',), 501),
             ('GET / HTTP/1.1', ('Host: a', 'Content-Length: x'), 400),
             (
