instance: read chunk lengths as hexadecimal numbers only

What callers saw: 400 for a chunk length with leading zeros and more than eight digits; a length such as '0x3', which is no chunk length, was accepted. Cause: the digits were limited to eight and parsed with int(), which accepts a prefix. test_chunk_length_is_any_hexadecimal_number failed before (2 of 3 cases).

--- a/libs/citronshelf_instance/citronshelf_instance/request_body.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_body.py
@@ -1,6 +1,7 @@
 """Reader of request bodies with a length or in chunks."""
 
 import asyncio
+import re
 
 from expression import Error
 from expression import Ok
@@ -13,8 +14,8 @@
 
 MAX_READ_BYTES = 64 * 1024
 MAX_CHUNK_LINE_BYTES = 256
-# Hexadecimal digits in the length of one chunk.
-MAX_CHUNK_LENGTH_DIGITS = 8
+# A length with more digits exceeds every limit.
+CHUNK_LENGTH = re.compile(rb'[0-9A-Fa-f]{1,16}')
 # Limit on all bodies being read: a fifth of the memory of the smallest
 # instance.
 MAX_BUFFERED_BYTES = 40 * 1024 * 1024
@@ -127,16 +128,7 @@
 def chunk_length(line: bytes) -> int | None:
     """Return the length of a chunk, None if the line is malformed."""
     digits = line.partition(b';')[0].strip()
-    if (
-        not digits
-        or len(digits) > MAX_CHUNK_LENGTH_DIGITS
-        or not digits.isalnum()
-    ):
-        return None
-    try:
-        return int(digits, 16)
-    except ValueError:
-        return None
+    return int(digits, 16) if CHUNK_LENGTH.fullmatch(digits) else None
 
 
 def body_too_large(
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -215,6 +215,20 @@
 
         assert asyncio.run(run()) == b'/1abcde'
 
+    @pytest.mark.parametrize(
+        'length, status', [(b'0000000003', 200), (b'0x3', 400), (b'+3', 400)]
+    )
+    def test_chunk_length_is_any_hexadecimal_number(self, length, status):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                extra = 'Transfer-Encoding: chunked\r\n'
+                writer.write(request_bytes('/1', 'POST', extra=extra))
+                writer.write(length + b'\r\nabc\r\n0\r\n\r\n')
+                return (await read_response(reader))[0]
+
+        assert asyncio.run(run()).startswith(f'HTTP/1.1 {status}')
+
     def test_interim_response_is_sent_when_expected(self):
         async def run():
             async with ScriptedApplication() as application:
