store reader: ask others for the state while the first read gets no answer

An instance that started while the store did not respond answered 503 (no configuration) for 1.5 s, the timeout of its first call, although others had the state: it asked them only after the call had failed.

If a full read takes longer than SLOW_READ_S, the next message that announces a newer revision makes the instance request the state from a peer.

TestStartWithSilentStore.test_state_is_fetched_from_peers failed before: no request 0.4 s after the start of the read. A short read still causes none.

--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -38,6 +38,9 @@
 # An instance that follows readers reads the store itself about this often, so
 # that readers that miss a change without noticing are found soon in any fleet.
 POLL_INTERVAL_S = 30.0
+# A full read usually takes a tenth of this. If one takes longer, the state is
+# requested from a peer meanwhile.
+SLOW_READ_S = 0.3
 # Interval at which an instance that follows readers checks whether a change
 # was not reported.
 FOLLOW_INTERVAL_S = 0.2
@@ -115,6 +118,7 @@
         self.is_synced = False
         self.unreachable_since_s: float | None = None
         self.retry_delay_s = INITIAL_RETRY_DELAY_S
+        self.read_since_s = float('inf')
         self.outdated = asyncio.Event()
         self.peer_revision = 0
         self.calls = 0
@@ -133,7 +137,9 @@
     async def read_all(self) -> None:
         """Replace the state with a full read of the store."""
         self.calls += 1
+        self.read_since_s = self.clock()
         read = await self.store.read_all()
+        self.read_since_s = float('inf')
         if read.is_error():
             await self.handle_fault(read.error)
             return
@@ -235,12 +241,13 @@
         """Handle the revision of the newest change that a peer knows.
 
         If it is newer, the watch is restarted, or the state is requested
-        from a peer while the store is unreachable.
+        from a peer while the store is unreachable or slow in a full read.
         """
         if revision <= self.state.revision:
             return
         self.peer_revision = max(self.peer_revision, revision)
-        if self.is_reachable:
+        is_read_slow = self.clock() - self.read_since_s >= SLOW_READ_S
+        if self.is_reachable and not is_read_slow:
             self.outdated.set()
         else:
             self.fetch_from_peers()
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -163,6 +163,29 @@
         assert len(fetches) == before + 1
 
 
+class TestStartWithSilentStore:
+    """A full read takes until its timeout if the store does not respond.
+
+    Guards against an instance that started in an outage and answered 503 for
+    that time, though others had the state.
+    """
+
+    def announce_during_read(self, clock, after_s):
+        def announce(reader):
+            clock.advance(after_s)
+            reader.handle_peer_revision(4)
+
+        _, fetches = read_with(ScriptedStore(), clock, announce)
+        return len(fetches)
+
+    def test_state_is_fetched_from_peers(self, clock):
+        slow_s = store_reader.SLOW_READ_S + 0.1
+        assert self.announce_during_read(clock, slow_s) == 1
+
+    def test_short_read_is_awaited(self, clock):
+        assert self.announce_during_read(clock, 0.0) == 0
+
+
 class SilentStore(ScriptedStore):
     """Store whose watches time out, some time after their wait."""
 
