instance: metrics and events that tell why little is served

New metrics: routable, behind_peers, requests_running, caller_connections, peak_memory_bytes and loop_delay_seconds (the longest since the page was last read).

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+import resource
 import signal
 import time
 import traceback
@@ -20,6 +21,7 @@
 from citronshelf_instance import caller_response
 from citronshelf_instance import events
 from citronshelf_instance import forwarding
+from citronshelf_instance import loop_delay
 from citronshelf_instance import membership
 from citronshelf_instance import metrics
 from citronshelf_instance import peer_messages
@@ -122,7 +124,9 @@
         self.peers.is_store_current = self.reader.is_current
         self.forwarder = self.make_forwarder(clock)
         self.server = self.make_server()
+        self.loop_delay = loop_delay.LoopDelay(clock=clock)
         self.add_gauges(log_output)
+        self.add_load_gauges()
 
     def make_forwarder(self, clock) -> forwarding.Forwarder:
         """Return the forwarder to backend servers."""
@@ -191,6 +195,40 @@
             lambda: self.links.dropped,
         )
         add('log_dropped', 'Dropped lines', lambda: log_output.dropped)
+        add(
+            'routable',
+            'Configuration and registrations received',
+            lambda: int(self.state.is_routable()),
+        )
+        add(
+            'behind_peers',
+            'Another instance knows a newer change',
+            lambda: int(self.reader.is_behind()),
+        )
+
+    def add_load_gauges(self) -> None:
+        """Add the gauges of the load on this process."""
+        add = self.metrics.add_gauge
+        add(
+            'requests_running',
+            'Requests in progress',
+            lambda: self.server.running,
+        )
+        add(
+            'caller_connections',
+            'Open connections of callers',
+            lambda: len(self.server.connections),
+        )
+        add(
+            'peak_memory_bytes',
+            'Highest resident memory',
+            lambda: resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024,
+        )
+        add(
+            'loop_delay_seconds',
+            'Longest delay of the event loop since this page was last read',
+            self.loop_delay.take_longest,
+        )
 
     async def serve(self, stopping: asyncio.Event) -> int:
         """Serve until the event is set, then shut down gracefully.
@@ -218,6 +256,7 @@
                 group.create_task(self.peers.run()),
                 group.create_task(self.reader.run()),
                 group.create_task(self.watch_settings()),
+                group.create_task(self.loop_delay.run()),
             ]
             loop = asyncio.get_running_loop()
             loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -324,10 +363,9 @@
         """
         head = request.head
         if not await self.state.wait_routable(FIRST_READ_WAIT_S):
-            response = caller_response.error_response(
-                503, 'not-run', 'no configuration'
-            )
-            self.log_request_end(request, response, '', '')
+            reason = 'no configuration'
+            response = caller_response.error_response(503, 'not-run', reason)
+            self.log_request_end(request, response, '', reason)
             return response, ''
         route = self.state.routes.match(head.host, head.path)
         if route is None:
--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -110,3 +110,6 @@
 SHUTDOWN_STEP = Event(
     1942, 'shutdown-step', logging.INFO, 'shutdown step reached'
 )
+LOOP_DELAYED = Event(
+    1943, 'loop-delayed', logging.WARNING, 'event loop ran late'
+)
