--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+import resource
 import signal
 import time
 
@@ -19,6 +20,7 @@
 from citronshelf_instance import dispatch
 from citronshelf_instance import events
 from citronshelf_instance import forwarding
+from citronshelf_instance import loop_delay
 from citronshelf_instance import membership
 from citronshelf_instance import metrics
 from citronshelf_instance import peer_messages
@@ -133,7 +135,9 @@
             clock=clock,
         )
         self.server = self.make_server()
+        self.loop_delay = loop_delay.LoopDelay(clock=clock)
         self.add_gauges(log_output)
+        self.add_load_gauges()
 
     def make_forwarder(self, clock) -> forwarding.Forwarder:
         """Return the forwarder to backend servers."""
@@ -226,6 +230,40 @@
             lambda: self.response_memory.total_bytes,
         )
         add('log_dropped', 'Dropped lines', lambda: log_output.dropped)
+        add(
+            'routable',
+            'Configuration and registrations received',
+            lambda: int(self.state.is_routable()),
+        )
+        add(
+            'behind_peers',
+            'Another instance knows a newer change',
+            lambda: int(self.reader.is_behind()),
+        )
+
+    def add_load_gauges(self) -> None:
+        """Add the gauges of the load on this process."""
+        add = self.metrics.add_gauge
+        add(
+            'requests_running',
+            'Requests in progress',
+            lambda: self.server.running,
+        )
+        add(
+            'caller_connections',
+            'Open connections of callers',
+            lambda: len(self.server.connections),
+        )
+        add(
+            'peak_memory_bytes',
+            'Highest resident memory',
+            lambda: resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024,
+        )
+        add(
+            'loop_delay_seconds',
+            'Longest delay of the event loop since this page was last read',
+            self.loop_delay.take_longest,
+        )
 
     async def serve(self, stopping: asyncio.Event) -> int:
         """Serve until the event is set, then shut down gracefully.
@@ -253,6 +291,7 @@
                 group.create_task(self.peers.run()),
                 group.create_task(self.reader.run()),
                 group.create_task(self.watch_settings()),
+                group.create_task(self.loop_delay.run()),
             ]
             loop = asyncio.get_running_loop()
             loop.add_signal_handler(signal.SIGHUP, self.reload)
