instance: make a test of changed idle timeouts check both directions

The case with a lowered timeout also passed without announced_idle_s: the wait for the next request began after the response, with the older timeout. The response is now delayed, so that the wait begins before it. Longer times (0.8 s and 1.6 s instead of 0.3 s and 1.2 s) leave wider margins on a busy machine.

--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -444,13 +444,14 @@
 
     # Guards against closing idle connections by an older, shorter timeout or
     # before the time that the last response announced.
-    @pytest.mark.parametrize('first_s, then_s', [(0.3, 1.2), (1.2, 0.3)])
+    @pytest.mark.parametrize('first_s, then_s', [(0.8, 1.6), (1.6, 0.8)])
     def test_idle_connection_stays_open_for_the_longer_timeout(
         self, first_s, then_s
     ):
         async def run():
             limits = SHORT._replace(idle_timeout_s=first_s)
-            async with ScriptedApplication(limits=limits) as application:
+            # Waiting for the next request begins before the response.
+            async with ScriptedApplication({'/1': 0.5}, limits) as application:
                 reader, writer = await application.connect()
                 writer.write(request_bytes('/1'))
                 await read_response(reader)
