entry: limit the framing of a chunked body to 32 KiB

Cause: with 128 KiB of framing, a stream cost about 26,000 callbacks before it was refused, and each event of libcurl handled several of these before the download's next bytes.

With 32 KiB it is refused four times as soon.

--- a/libs/citronshelf_entry/citronshelf_entry/exchange.py
+++ b/libs/citronshelf_entry/citronshelf_entry/exchange.py
@@ -21,9 +21,10 @@
 MAX_HEAD_LINES = 200
 # Chunk sizes, chunk extensions and trailers may have this many bytes and, on
 # top, one for every ``BODY_BYTES_PER_FRAMING_BYTE`` of the body. Chunks of 60
-# bytes or more stay within that. Smaller ones cost much processor time, about
-# 1 us each, which other exchanges wait for.
-MAX_FRAMING_BYTES = 128 * 1024
+# bytes or more stay within that. Smaller ones cost about 1 us of processor
+# time each, which other exchanges wait for. The bytes that libcurl has read
+# but not parsed, at most 16 KiB, count as well.
+MAX_FRAMING_BYTES = 32 * 1024
 BODY_BYTES_PER_FRAMING_BYTE = 8
 
 # Reason recorded when ``may_send`` prevents the request from being written.
