links: end the receiver of a connection that a handler disconnected

Since connections to a restarted instance are replaced while a message of that connection is handled, its receiver called recv on the closed socket. The receiver now ends when its connection is no longer the one in use.

A connection on which the new process itself responds is kept: it has already been established anew.

TestDisconnect and test_connection_that_leads_to_the_new_process_is_kept failed before.

--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -250,10 +250,12 @@
             self.members.remove(message.sender.instance)
             self.links.disconnect(message.sender.address)
             return
-        self.record_member(message.sender, self.members.record_message)
+        self.record_member(message.sender, self.members.record_message, route)
         self.handle(message, route)
 
-    def record_member(self, member: peer_messages.Member, record) -> None:
+    def record_member(
+        self, member: peer_messages.Member, record, route=None
+    ) -> None:
         """Record a member; drop the connection to its previous process.
 
         Parameters
@@ -261,11 +263,16 @@
         member : Member
         record : callable
             ``record_message`` or ``record_member`` of the members.
+        route : Address or bytes or None
+            Route by which the member's own message arrived. A connection on
+            which it responds leads to the new process.
         """
         before = self.members.known_member(member.instance)
         record(member)
         after = self.members.known_member(member.instance)
-        if before is not None and after.nonce != before.nonce:
+        if before is None or after.nonce == before.nonce:
+            return
+        if route != before.address:
             self.links.disconnect(before.address)
 
     def handle(self, message, route) -> None:
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -46,12 +46,14 @@
         self.network = network
         self.address = address
         self.on_message = None
+        self.disconnected = []
         network.links[address] = self
 
     def connect(self, address):
         pass
 
     def disconnect(self, address):
+        self.disconnected.append(address)
         self.network.stale.discard((self.address, address))
 
     def send(self, route, data):
@@ -65,9 +67,8 @@
             return True
         end = network.links.get(address)
         if end is not None:
-            asyncio.get_running_loop().call_soon(
-                end.on_message, FakeRoute(self.address), data
-            )
+            source = self.address if is_reply else FakeRoute(self.address)
+            asyncio.get_running_loop().call_soon(end.on_message, source, data)
         return end is not None
 
 
@@ -600,6 +601,19 @@
         assert one.members.count() == 6
         assert one.state.is_routable()
 
+    def test_connection_that_leads_to_the_new_process_is_kept(self, clock):
+        async def run():
+            group = await self.restart(clock)
+            group.network.stale = set()
+            two, restarted = group.instances[2], group.instances[1].own
+            clock.advance(0.5)
+            join = peer_messages.Join(two.own, two.state.change_revision)
+            two.send(restarted.address, join)
+            await asyncio.sleep(0.02)
+            return two.links.disconnected, two.members.known['i1'].member.nonce
+
+        assert asyncio.run(run()) == ([], 'n2')
+
     def test_others_replace_their_connections(self, clock):
         async def run():
             group = await self.restart(clock)
--- a/libs/citronshelf_peering/citronshelf_peering/links.py
+++ b/libs/citronshelf_peering/citronshelf_peering/links.py
@@ -184,9 +184,10 @@
                 await asyncio.sleep(0)
 
     async def run_dealer(self, address, dealer) -> None:
-        """Receive on one connection until cancelled."""
+        """Receive on one connection until cancelled or disconnected."""
         count = 0
-        while True:
+        # A handler may disconnect it while a message is delivered.
+        while self.dealers.get(address) is dealer:
             frames = await dealer.recv_multipart()
             if len(frames) == 1:
                 self.deliver(address, frames[0])
--- a/libs/citronshelf_peering/tests/test_links.py
+++ b/libs/citronshelf_peering/tests/test_links.py
@@ -1,6 +1,7 @@
 """Tests of the links with sockets on the loopback interface."""
 
 import asyncio
+import gc
 import socket
 
 import zmq
@@ -130,3 +131,42 @@
                 first.close()
 
         assert 'in use' in asyncio.run(bind_twice())
+
+
+class TestDisconnect:
+    """A handler may close the connection of the message that it handles.
+
+    Guards against an unhandled exception in the task of that connection.
+    """
+
+    def test_task_ends_without_an_exception(self):
+        faults = []
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: faults.append(1))
+            address = free_address()
+            server = links.ZmqLinks(address=address, keys=None)
+            caller = links.ZmqLinks(address=free_address(), keys=None)
+            server.on_message = server.send
+            handled = asyncio.Event()
+
+            def disconnect(route, _):
+                caller.disconnect(route)
+                handled.set()
+
+            caller.on_message = disconnect
+            running = asyncio.create_task(server.run())
+            caller.connect(address)
+            async with asyncio.timeout(5.0):
+                while not handled.is_set():
+                    caller.send(address, b'ping')
+                    await asyncio.sleep(0.02)
+            running.cancel()
+            server.close()
+            caller.close()
+            await asyncio.sleep(0.05)
+
+        asyncio.run(run())
+        gc.collect()
+        assert faults == []
