links: close connections on which nothing is acknowledged for 3 s

A connection between instances that goes silent without a reset, or whose peer lost power, stayed open until the kernel gave up. Everything sent on it got lost: evidence of failing servers, reports of readers, heartbeats. The peer did not expire meanwhile, as others still heard from it. An attempt to connect to a machine without power was repeated by the kernel after 1, 2 and 4 s.

The sockets now set TCP_USER_TIMEOUT to 3 s and give up an attempt to connect after 1 s; the link then connects anew. No message is added.

TestSilentPeers failed before: the option was 0 at both ends.

--- a/libs/citronshelf_peering/citronshelf_peering/links.py
+++ b/libs/citronshelf_peering/citronshelf_peering/links.py
@@ -21,6 +21,10 @@
 # queue would only hold outdated messages.
 QUEUE_MESSAGES = 32
 HANDSHAKE_TIMEOUT_MS = 5000
+# Peers that lost power, and connections that went silent, acknowledge nothing.
+# Without these limits the kernel retries for minutes, at growing intervals.
+ACKNOWLEDGE_TIMEOUT_MS = 3000
+CONNECT_TIMEOUT_MS = 1000
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 2000
 BACKLOG_CONNECTIONS = 128
@@ -89,6 +93,8 @@
     socket.setsockopt(zmq.RCVHWM, QUEUE_MESSAGES)
     socket.setsockopt(zmq.MAXMSGSIZE, messages.wire.MAX_MESSAGE_BYTES)
     socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
+    socket.setsockopt(zmq.TCP_MAXRT, ACKNOWLEDGE_TIMEOUT_MS)
+    socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
     socket.setsockopt(zmq.BACKLOG, BACKLOG_CONNECTIONS)
     if keys is not None:
         socket.curve_publickey = keys.public
--- a/libs/citronshelf_peering/tests/test_links.py
+++ b/libs/citronshelf_peering/tests/test_links.py
@@ -1,7 +1,9 @@
 """Tests of the links with sockets on the loopback interface."""
 
 import asyncio
+import contextlib
 import gc
+import os
 import socket
 
 import zmq
@@ -19,6 +21,26 @@
         return fleet.Address('127.0.0.1', probe.getsockname()[1])
 
 
+def user_timeouts_ms(address):
+    """Return TCP_USER_TIMEOUT of this process's connections to an address.
+
+    Both ends of each connection are listed.
+    """
+    timeouts_ms = []
+    for entry in os.listdir('/proc/self/fd'):
+        # Other files, and sockets without a peer, raise OSError.
+        with contextlib.suppress(OSError):
+            if not os.readlink(f'/proc/self/fd/{entry}').startswith('socket'):
+                continue
+            with socket.socket(fileno=os.dup(int(entry))) as one:
+                if tuple(address) in {one.getsockname(), one.getpeername()}:
+                    timeout_ms = one.getsockopt(
+                        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+                    )
+                    timeouts_ms.append(timeout_ms)
+    return timeouts_ms
+
+
 async def request_until(address, make, seconds):
     """Send repeatedly until a response arrives; None after the timeout."""
     dealer = make(address)
@@ -170,3 +192,33 @@
         asyncio.run(run())
         gc.collect()
         assert faults == []
+
+
+class TestSilentPeers:
+    """Connections on which nothing is acknowledged are closed soon.
+
+    Guards against messages that got lost until the kernel gave up. The
+    loopback interface always acknowledges, so the kernel's option is read.
+    """
+
+    def test_kernel_limits_the_time_without_acknowledgement(self):
+        async def run():
+            address = free_address()
+            server = links.ZmqLinks(address=address, keys=None)
+            caller = links.ZmqLinks(address=free_address(), keys=None)
+            received = asyncio.Event()
+            server.on_message = lambda route, data: received.set()
+            running = asyncio.create_task(server.run())
+            caller.connect(address)
+            async with asyncio.timeout(5.0):
+                while not received.is_set():
+                    caller.send(address, b'ping')
+                    await asyncio.sleep(0.02)
+            timeouts_ms = user_timeouts_ms(address)
+            running.cancel()
+            server.close()
+            caller.close()
+            return timeouts_ms
+
+        timeouts_ms = asyncio.run(run())
+        assert timeouts_ms == [links.ACKNOWLEDGE_TIMEOUT_MS] * 2
