peers: fetch the state from an instance that announced a newer one

After a loss of power on half of the machines while the store was down, instances that came back asked random members for the state.

A request now goes to the last member of the region that announced a newer revision since the request before, and to a random one otherwise.

--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -87,6 +87,7 @@
         self.next_report_s = 0.0
         self.has_left = False
         self.last_fetch_s = float('-inf')
+        self.ahead = ''
         self.on_peer_revision = lambda revision: None
         self.is_store_current = lambda: False
         links.on_message = self.receive
@@ -283,17 +284,17 @@
                 self.links.connect(message.sender.address)
                 reply = self.make_heartbeat(peer_messages.MAX_MEMBERS)
                 self.reply(route, reply)
-                self.on_peer_revision(message.revision)
+                self.handle_revision(message.sender, message.revision)
             case peer_messages.Heartbeat():
                 for member in message.members:
                     self.record_member(member, self.members.record_member)
-                self.on_peer_revision(message.revision)
+                self.handle_revision(message.sender, message.revision)
             case peer_messages.Evidence():
                 for observation in message.observations:
                     self.state.directory.record(
                         observation, message.sender.instance
                     )
-                self.on_peer_revision(message.revision)
+                self.handle_revision(message.sender, message.revision)
             case peer_messages.ReaderReport():
                 self.handle_report(message)
             case peer_messages.FetchState():
@@ -307,7 +308,16 @@
         if message.recovered_ago_s is not None:
             self.state.directory.record_store_recovery(message.recovered_ago_s)
         self.state.apply_delta(message.delta)
-        self.on_peer_revision(max(message.revision, message.delta.after))
+        revision = max(message.revision, message.delta.after)
+        self.handle_revision(message.sender, revision)
+
+    def handle_revision(
+        self, sender: peer_messages.Member, revision: int
+    ) -> None:
+        """Handle the revision of the newest change that a sender knows."""
+        if revision > self.state.revision:
+            self.ahead = sender.instance
+        self.on_peer_revision(revision)
 
     def send_state(self, message: peer_messages.FetchState, route) -> None:
         """Reply with the published state if the requester's is older.
@@ -332,19 +342,22 @@
         self.state.replace(message.snapshot, source=message.sender.instance)
 
     def fetch_state(self) -> None:
-        """Request the published state from a random instance.
+        """Request the published state from another instance.
 
-        Instances of the region are preferred. Requests are at least
-        ``FETCH_INTERVAL_S`` apart.
+        Instances of the region are preferred, and of these the last one that
+        announced a newer change since the last request; otherwise a random
+        one is chosen. Requests are at least ``FETCH_INTERVAL_S`` apart.
         """
         now = self.clock()
         candidates = (
             self.members.in_region() or self.members.in_other_regions()
         )
+        ahead = [c for c in candidates if c.member.instance == self.ahead]
         if not candidates or now - self.last_fetch_s < FETCH_INTERVAL_S:
             return
         self.last_fetch_s = now
-        chosen = self.rng.choice(candidates)
+        self.ahead = ''
+        chosen = self.rng.choice(ahead or candidates)
         message = peer_messages.FetchState(self.own, self.state.revision)
         self.send(chosen.member.address, message)
 
