peers: fetch the state from a random member again

It may be that many instances asked the few that had announced a newer state, whose links carry 5 Mbit/s.

--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -87,7 +87,6 @@
         self.next_report_s = 0.0
         self.has_left = False
         self.last_fetch_s = float('-inf')
-        self.ahead = ''
         self.on_peer_revision = lambda revision: None
         self.is_store_current = lambda: False
         links.on_message = self.receive
@@ -284,17 +283,17 @@
                 self.links.connect(message.sender.address)
                 reply = self.make_heartbeat(peer_messages.MAX_MEMBERS)
                 self.reply(route, reply)
-                self.handle_revision(message.sender, message.revision)
+                self.on_peer_revision(message.revision)
             case peer_messages.Heartbeat():
                 for member in message.members:
                     self.record_member(member, self.members.record_member)
-                self.handle_revision(message.sender, message.revision)
+                self.on_peer_revision(message.revision)
             case peer_messages.Evidence():
                 for observation in message.observations:
                     self.state.directory.record(
                         observation, message.sender.instance
                     )
-                self.handle_revision(message.sender, message.revision)
+                self.on_peer_revision(message.revision)
             case peer_messages.ReaderReport():
                 self.handle_report(message)
             case peer_messages.FetchState():
@@ -308,16 +307,7 @@
         if message.recovered_ago_s is not None:
             self.state.directory.record_store_recovery(message.recovered_ago_s)
         self.state.apply_delta(message.delta)
-        revision = max(message.revision, message.delta.after)
-        self.handle_revision(message.sender, revision)
-
-    def handle_revision(
-        self, sender: peer_messages.Member, revision: int
-    ) -> None:
-        """Handle the revision of the newest change that a sender knows."""
-        if revision > self.state.revision:
-            self.ahead = sender.instance
-        self.on_peer_revision(revision)
+        self.on_peer_revision(max(message.revision, message.delta.after))
 
     def send_state(self, message: peer_messages.FetchState, route) -> None:
         """Reply with the published state if the requester's is older.
@@ -342,22 +332,19 @@
         self.state.replace(message.snapshot, source=message.sender.instance)
 
     def fetch_state(self) -> None:
-        """Request the published state from another instance.
+        """Request the published state from a random instance.
 
-        Instances of the region are preferred, and of these the last one that
-        announced a newer change since the last request; otherwise a random
-        one is chosen. Requests are at least ``FETCH_INTERVAL_S`` apart.
+        Instances of the region are preferred. Requests are at least
+        ``FETCH_INTERVAL_S`` apart.
         """
         now = self.clock()
         candidates = (
             self.members.in_region() or self.members.in_other_regions()
         )
-        ahead = [c for c in candidates if c.member.instance == self.ahead]
         if not candidates or now - self.last_fetch_s < FETCH_INTERVAL_S:
             return
         self.last_fetch_s = now
-        self.ahead = ''
-        chosen = self.rng.choice(ahead or candidates)
+        chosen = self.rng.choice(candidates)
         message = peer_messages.FetchState(self.own, self.state.revision)
         self.send(chosen.member.address, message)
 
