--- a/libs/citronshelf_peering/tests/test_links.py
+++ b/libs/citronshelf_peering/tests/test_links.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import gc
+import os
 import socket
 
 import zmq
@@ -21,6 +23,26 @@
         return fleet.Address('127.0.0.1', probe.getsockname()[1])
 
 
+def user_timeouts_ms(address):
+    """Return TCP_USER_TIMEOUT of this process's connections to an address.
+
+    Both ends of each connection are listed.
+    """
+    timeouts_ms = []
+    for entry in os.listdir('/proc/self/fd'):
+        # Other files, and sockets without a peer, raise OSError.
+        with contextlib.suppress(OSError):
+            if not os.readlink(f'/proc/self/fd/{entry}').startswith('socket'):
+                continue
+            with socket.socket(fileno=os.dup(int(entry))) as one:
+                if tuple(address) in {one.getsockname(), one.getpeername()}:
+                    timeout_ms = one.getsockopt(
+                        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+                    )
+                    timeouts_ms.append(timeout_ms)
+    return timeouts_ms
+
+
 async def request_until(address, make, seconds):
     """Send repeatedly until a response arrives; None after the timeout."""
     dealer = make(address)
@@ -215,3 +237,72 @@
                 first.close()
 
         assert 'in use' in asyncio.run(bind_twice())
+
+
+class TestDisconnect:
+    """A handler may close the connection of the message that it handles.
+
+    Guards against an unhandled exception in the task of that connection.
+    """
+
+    def test_task_ends_without_an_exception(self):
+        faults = []
+
+        async def run():
+            loop = asyncio.get_running_loop()
+            loop.set_exception_handler(lambda _, context: faults.append(1))
+            address = free_address()
+            server = links.ZmqLinks(address=address, keys=None)
+            caller = links.ZmqLinks(address=free_address(), keys=None)
+            server.on_message = server.send
+            handled = asyncio.Event()
+
+            def disconnect(route, _):
+                caller.disconnect(route)
+                handled.set()
+
+            caller.on_message = disconnect
+            running = asyncio.create_task(server.run())
+            caller.connect(address)
+            async with asyncio.timeout(5.0):
+                while not handled.is_set():
+                    caller.send(address, b'ping')
+                    await asyncio.sleep(0.02)
+            running.cancel()
+            server.close()
+            caller.close()
+            await asyncio.sleep(0.05)
+
+        asyncio.run(run())
+        gc.collect()
+        assert faults == []
+
+
+class TestSilentPeers:
+    """Connections on which nothing is acknowledged are closed soon.
+
+    Guards against messages that got lost until the kernel gave up. The
+    loopback interface always acknowledges, so the kernel's option is read.
+    """
+
+    def test_kernel_limits_the_time_without_acknowledgement(self):
+        async def run():
+            address = free_address()
+            server = links.ZmqLinks(address=address, keys=None)
+            caller = links.ZmqLinks(address=free_address(), keys=None)
+            received = asyncio.Event()
+            server.on_message = lambda route, data: received.set()
+            running = asyncio.create_task(server.run())
+            caller.connect(address)
+            async with asyncio.timeout(5.0):
+                while not received.is_set():
+                    caller.send(address, b'ping')
+                    await asyncio.sleep(0.02)
+            timeouts_ms = user_timeouts_ms(address)
+            running.cancel()
+            server.close()
+            caller.close()
+            return timeouts_ms
+
+        timeouts_ms = asyncio.run(run())
+        assert timeouts_ms == [links.ACKNOWLEDGE_TIMEOUT_MS] * 2
