instance: handle no pipelined requests after the listener has closed

Callers that always had a request behind the running one kept their connection open after SIGTERM: each response left it open because a later request was running. The shutdown then lasted until end_s, and the last requests of the connection were cut without a response, also ones that the caller had sent long after SIGTERM.

Once the listener is closed, a request behind a running one is not handled, so the running one is the last of its connection, which closes after it. The caller sends the other one again, as after each Connection: close.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -171,8 +171,8 @@
             request = read.ok
             if not self.server.application.may_run_concurrently(request.head):
                 await self.wait_for_responses()
-            if self.closing:
-                # A response announced that the connection closes, so the
+            if self.closing or (self.server.finishing and self.outstanding):
+                # A response announces that the connection closes, so the
                 # caller sends this request again.
                 return
             self.start(request)
@@ -337,6 +337,15 @@
     application : Application
     max_connections : int
         Connections beyond this number are closed at once.
+
+    Attributes
+    ----------
+    running : int
+        Requests that are being handled.
+    draining : bool
+        Each connection closes after the response to its last request.
+    finishing : bool
+        A request behind a running one of its connection is not handled.
     """
 
     def __init__(self, *, application: Application, max_connections: int):
@@ -347,6 +356,7 @@
         self.buffered_bodies = request_body.BufferedBytes()
         self.running = 0
         self.draining = False
+        self.finishing = False
         self.refused = 0
 
     async def handle_stream(self, stream, address) -> None:
@@ -386,6 +396,12 @@
             reason=refusal.reason,
         )
 
+    def finish(self) -> None:
+        """Stop listening and handle no requests behind running ones."""
+        self.finishing = True
+        self.stop()
+        self.close_idle()
+
     def close_idle(self) -> None:
         """Close connections without a request in progress."""
         for connection in list(self.connections):
--- a/libs/citronshelf_instance/citronshelf_instance/shutdown.py
+++ b/libs/citronshelf_instance/citronshelf_instance/shutdown.py
@@ -27,8 +27,7 @@
     server.draining = True
     log('accepting', server)
     await asyncio.sleep(table['accept_s'])
-    server.stop()
-    server.close_idle()
+    server.finish()
     log('finishing', server)
     while not server.is_finished():
         if time.monotonic() - started_s >= table['end_s']:
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -151,6 +151,39 @@
         assert (body, rest) == (b'/1', b'')
         assert 'Connection: close' in head
 
+    # A caller that always had a request behind the running one kept its
+    # connection open until the process ended, which cut its last requests.
+    def test_finishing_server_runs_no_request_behind_a_running_one(self):
+        async def run():
+            async with ScriptedApplication({'/1': 0.2}) as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1'))
+                await asyncio.sleep(0.05)
+                application.server.draining = True
+                application.server.finish()
+                writer.write(request_bytes('/2'))
+                head, body = await read_response(reader)
+                return head, body, await reader.read(), application.started
+
+        head, body, rest, started = asyncio.run(run())
+        assert (body, rest, started) == (b'/1', b'', ['/1'])
+        assert 'Connection: close' in head
+
+    def test_finishing_server_completes_a_request_that_has_begun(self):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                request = request_bytes('/1')
+                writer.write(request[:10])
+                await asyncio.sleep(0.05)
+                application.server.draining = True
+                application.server.finish()
+                writer.write(request[10:])
+                _, body = await read_response(reader)
+                return body, await reader.read()
+
+        assert asyncio.run(run()) == (b'/1', b'')
+
 
 class TestCallerDisconnects:
     """Requests of a caller that closed its connection are cancelled."""
