instance: answer the requests that a shutdown ends

Callers whose requests still ran at end_s after SIGTERM got a closed connection and no response, so they could not tell a request that no server had received from one that may have run.

grace_s comes from the platform's settings and replaces end_s, a constant.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -340,8 +340,8 @@
 
     Attributes
     ----------
-    running : int
-        Requests that are being handled.
+    tasks : set of asyncio.Task
+        Tasks of the requests that are being handled.
     draining : bool
         Each connection closes after the response to its last request.
     finishing : bool
@@ -354,7 +354,7 @@
         self.max_connections = max_connections
         self.connections: set[CallerConnection] = set()
         self.buffered_bodies = request_body.BufferedBytes()
-        self.running = 0
+        self.tasks: set[asyncio.Task] = set()
         self.draining = False
         self.finishing = False
         self.refused = 0
@@ -380,11 +380,12 @@
 
     async def run(self, request: caller_request.CallerRequest):
         """Handle a request and count it as running."""
-        self.running += 1
+        task = asyncio.current_task()
+        self.tasks.add(task)
         try:
             return await self.application.handle(request)
         finally:
-            self.running -= 1
+            self.tasks.discard(task)
 
     def record_refusal(self, refusal: request_head.RequestRefusal) -> None:
         """Count and log an invalid request."""
@@ -408,6 +409,11 @@
             if connection.is_idle():
                 connection.stream.close()
 
+    def end_requests(self) -> None:
+        """Cancel the running requests; the application responds to them."""
+        for task in list(self.tasks):
+            task.cancel()
+
     def is_finished(self) -> bool:
         """Return whether no connection has a request in progress."""
         return all(connection.is_idle() for connection in self.connections)
--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -224,7 +224,9 @@
             await stopping.wait()
             self.stopping = True
             self.peers.leave()
-            await shutdown.shut_down(self.server, self.table['shutdown'])
+            await shutdown.shut_down(
+                self.server, self.table['shutdown'], self.end_requests
+            )
             for task in tasks:
                 task.cancel()
         ready_server.stop()
@@ -234,6 +236,11 @@
         self.client.close()
         return 0
 
+    def end_requests(self) -> None:
+        """End the running requests with final responses."""
+        self.forwarder.ending = True
+        self.server.end_requests()
+
     async def watch_settings(self) -> None:
         """Reload the settings periodically; ``SIGHUP`` does so at once."""
         while True:
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -31,6 +31,7 @@
 # reaches the caller before the caller gives up.
 RESPONSE_MARGIN_S = 0.01
 DEFAULT_DEADLINE_S = 30.0
+SHUTDOWN_REASON = 'shutdown'
 
 
 class BudgetSettings(NamedTuple):
@@ -66,6 +67,12 @@
     metrics : InstanceMetrics
     clock : callable
         Monotonic seconds.
+
+    Attributes
+    ----------
+    ending : bool
+        No request is dispatched any more, and cancelled requests get an
+        outcome.
     """
 
     def __init__(
@@ -89,6 +96,7 @@
         self.metrics = metrics
         self.clock = clock
         self.started_s = clock()
+        self.ending = False
         self.budgets: dict[str, retry_budget.RetryBudget] = {}
 
     def set_budget_settings(self, budget_settings: BudgetSettings) -> None:
@@ -120,7 +128,8 @@
         """Forward a request and return its final outcome.
 
         The request counts for the retry budget of its service. Dispatches that
-        are still running at the end are cancelled.
+        are still running at the end are cancelled. While the instance ends, a
+        cancelled request has an outcome as well.
         """
         self.budget_for(routed.service).record_request()
         running = RunningRequest(
@@ -128,6 +137,11 @@
         )
         try:
             return await running.run()
+        except asyncio.CancelledError:
+            if not self.ending:
+                raise
+            asyncio.current_task().uncancel()
+            return running.stop()
         finally:
             running.cancel()
 
@@ -239,11 +253,14 @@
         """Dispatch to one more server if possible.
 
         The route's limit of servers, the remaining time, a lack of usable
-        servers or, for a retry, the retry budget can prevent it. Returns
-        whether the request was dispatched.
+        servers, the end of the instance or, for a retry, the retry budget can
+        prevent it. Returns whether the request was dispatched.
         """
         forwarder = self.forwarder
         now = forwarder.clock()
+        if forwarder.ending:
+            self.not_run_reason = SHUTDOWN_REASON
+            return False
         if self.dispatches >= max(1, self.route.max_servers):
             return False
         if now + MIN_REMAINING_S >= self.expires_s:
@@ -335,6 +352,19 @@
             )
         return self.final_outcome()
 
+    def stop(self) -> outcomes.Outcome:
+        """Return the outcome of a request that the shutdown ends."""
+        response = self.collect_finished()
+        if response is not None:
+            return response
+        if any(
+            running_dispatch.is_sent()
+            for running_dispatch in self.running.values()
+        ):
+            self.unknown_reason = self.unknown_reason or SHUTDOWN_REASON
+        self.not_run_reason = SHUTDOWN_REASON
+        return self.final_outcome()
+
     def final_outcome(self) -> outcomes.Outcome:
         """Return the outcome of a request without a good response.
 
--- a/libs/citronshelf_instance/citronshelf_instance/settings.py
+++ b/libs/citronshelf_instance/citronshelf_instance/settings.py
@@ -52,12 +52,13 @@
 class ShutdownTable(TypedDict):
     """Times in seconds after a termination signal.
 
-    Until ``accept_s``, new connections are accepted. At ``end_s``, the process
-    exits even if requests are still running.
+    Until ``accept_s``, new connections are accepted. After ``grace_s``, the
+    platform kills the process; it exits before that, even if requests are
+    still running.
     """
 
     accept_s: Seconds
-    end_s: Seconds
+    grace_s: Seconds
 
 
 class LogTable(TypedDict):
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -163,7 +163,9 @@
                 application.server.finish()
                 writer.write(request_bytes('/2'))
                 head, body = await read_response(reader)
-                return head, body, await reader.read(), application.started
+                rest = await reader.read()
+                writer.close()
+                return head, body, rest, application.started
 
         head, body, rest, started = asyncio.run(run())
         assert (body, rest, started) == (b'/1', b'', ['/1'])
@@ -180,7 +182,9 @@
                 application.server.finish()
                 writer.write(request[10:])
                 _, body = await read_response(reader)
-                return body, await reader.read()
+                rest = await reader.read()
+                writer.close()
+                return body, rest
 
         assert asyncio.run(run()) == (b'/1', b'')
 
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -310,3 +310,42 @@
         outcome, heads = asyncio.run(run())
         assert isinstance(outcome, outcomes.NotRun)
         assert heads == []
+
+
+class TestEnd:
+    """Requests have an outcome when the instance ends."""
+
+    # The callers of requests that still ran at the end of a shutdown got a
+    # closed connection and no response.
+    @pytest.mark.parametrize('idempotent', [False, True])
+    def test_cancelled_request_at_a_server_is_unknown(self, idempotent):
+        async def run():
+            async with Harness(HANG) as harness:
+                task = asyncio.create_task(harness.run(idempotent=idempotent))
+                await asyncio.sleep(0.1)
+                harness.forwarder.ending = True
+                task.cancel()
+                return await task
+
+        assert asyncio.run(run()) == outcomes.Unknown(reason='shutdown')
+
+    def test_request_that_was_not_sent_has_not_run(self):
+        async def run():
+            async with Harness(GOOD) as harness:
+                task = asyncio.create_task(harness.run())
+                await asyncio.sleep(0)
+                harness.forwarder.ending = True
+                task.cancel()
+                outcome = await task
+                await asyncio.sleep(0.1)
+                return outcome, harness.servers.heads
+
+        assert asyncio.run(run()) == (outcomes.NotRun(reason='shutdown'), [])
+
+    def test_new_request_is_not_dispatched(self):
+        async def run():
+            async with Harness(GOOD) as harness:
+                harness.forwarder.ending = True
+                return await harness.run(), harness.servers.heads
+
+        assert asyncio.run(run()) == (outcomes.NotRun(reason='shutdown'), [])
--- a/libs/citronshelf_instance/tests/test_shutdown.py
+++ b/libs/citronshelf_instance/tests/test_shutdown.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 from citronshelf_instance import shutdown
 from test_caller_connection import read_response
@@ -10,7 +11,11 @@
 from test_caller_connection import SHORT
 
 PATIENT = SHORT._replace(head_timeout_s=10.0, idle_timeout_s=10.0)
-TABLE = {'accept_s': 0.2, 'end_s': 3.0}
+TABLE = {'accept_s': 0.2, 'grace_s': 3.3}
+
+
+def ignore():
+    """Leave the running requests as they are."""
 
 
 class TestCallers:
@@ -30,7 +35,7 @@
                 sender = asyncio.create_task(send(writer))
                 await asyncio.sleep(0.3)
                 async with asyncio.timeout(1.5):
-                    await shutdown.shut_down(app.server, TABLE)
+                    await shutdown.shut_down(app.server, TABLE, ignore)
                 sender.cancel()
                 responses = 0
                 with contextlib.suppress(
@@ -39,7 +44,43 @@
                     while True:
                         await read_response(reader)
                         responses += 1
+                writer.close()
                 return responses, app
 
         responses, app = asyncio.run(run())
         assert responses == len(app.started) == len(app.ended)
+
+    def test_new_connections_are_accepted_for_a_time(self):
+        async def run():
+            async with ScriptedApplication() as app:
+                ending = asyncio.create_task(
+                    shutdown.shut_down(app.server, TABLE, ignore)
+                )
+                await asyncio.sleep(0.1)
+                reader, writer = await app.connect()
+                writer.write(request_bytes('/1'))
+                _, body = await read_response(reader)
+                await ending
+                writer.close()
+                return body
+
+        assert asyncio.run(run()) == b'/1'
+
+    def test_stays_within_the_grace_period(self):
+        table = {'accept_s': 3.0, 'grace_s': 0.6}
+        ended = []
+
+        async def run():
+            async with ScriptedApplication({'/1': 5.0}) as app:
+                _, writer = await app.connect()
+                writer.write(request_bytes('/1'))
+                await asyncio.sleep(0.05)
+                began_s = time.monotonic()
+                await shutdown.shut_down(
+                    app.server, table, lambda: ended.append(1)
+                )
+                writer.close()
+                return time.monotonic() - began_s
+
+        assert 0.5 <= asyncio.run(run()) < 1.0
+        assert ended == [1]
