--- a/libs/citronshelf_instance/tests/test_shutdown.py
+++ b/libs/citronshelf_instance/tests/test_shutdown.py
@@ -66,6 +66,28 @@
 
         assert asyncio.run(run()) == b'/1'
 
+    # An exit with unread bytes resets the connection, which may discard the
+    # response before it.
+    def test_waits_for_a_caller_to_read_the_last_response(self):
+        async def run():
+            async with ScriptedApplication({'/1': 0.4}) as app:
+                reader, writer = await app.connect()
+                writer.write(request_bytes('/1'))
+                ending = asyncio.create_task(
+                    shutdown.shut_down(app.server, TABLE, ignore)
+                )
+                await asyncio.sleep(0.3)
+                writer.write(request_bytes('/2'))
+                await asyncio.sleep(0.4)
+                ended_before = ending.done()
+                _, body = await read_response(reader)
+                writer.close()
+                async with asyncio.timeout(0.5):
+                    await ending
+                return ended_before, body, app.started
+
+        assert asyncio.run(run()) == (False, b'/1', ['/1'])
+
     def test_stays_within_the_grace_period(self):
         table = {'accept_s': 3.0, 'grace_s': 0.6}
         ended = []
