instance: bound the wait for closing connections in the shutdown

The wait serves responses that are still under way; it now ends after 0.2 s. test_does_not_wait_for_callers_that_never_close failed before (1.02 s, bound 0.7). The test of the wait closes its connection 0.1 s after the response; it fails without any wait, as before.

--- a/libs/citronshelf_instance/citronshelf_instance/shutdown.py
+++ b/libs/citronshelf_instance/citronshelf_instance/shutdown.py
@@ -18,6 +18,8 @@
 # the exit.
 WORK_SHARE = 11 / 12
 RESPONSE_SHARE = 19 / 20
+# Time for callers to close their connections after the last responses.
+CLOSING_TIME_S = 0.2
 
 
 async def shut_down(
@@ -46,27 +48,35 @@
     await asyncio.sleep(min(table['accept_s'], work_s))
     server.finish()
     log('finishing', server)
-    if not await wait_finished(server, started_s + work_s):
+
+    def is_finished() -> bool:
+        server.close_idle()
+        return server.is_finished()
+
+    responses_s = started_s + table['grace_s'] * RESPONSE_SHARE
+    if not await wait_until(is_finished, started_s + work_s):
         log('cut', server)
         end_requests()
-        response_s = table['grace_s'] * RESPONSE_SHARE
-        await wait_finished(server, started_s + response_s)
+        await wait_until(is_finished, responses_s)
+    # The exit resets connections with unread bytes, which may discard the
+    # responses before them.
+    await wait_until(
+        lambda: not strict_connection.LINGERING,
+        min(time.monotonic() + CLOSING_TIME_S, responses_s),
+    )
     log('finished', server)
 
 
-async def wait_finished(
-    server: caller_connection.CallerServer, end_s: float
-) -> bool:
-    """Wait until callers have all responses; return whether they have.
+async def wait_until(condition: Callable[[], bool], end_s: float) -> bool:
+    """Wait until a condition holds; return whether it does.
 
     Returns at the monotonic time ``end_s`` at the latest.
     """
-    while not server.is_finished() or strict_connection.LINGERING:
+    while not condition():
         remaining_s = end_s - time.monotonic()
         if remaining_s <= 0:
             return False
         await asyncio.sleep(min(POLL_INTERVAL_S, remaining_s))
-        server.close_idle()
     return True
 
 
