--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -178,8 +178,8 @@
             request = read.ok
             if not self.server.application.may_run_concurrently(request.head):
                 await self.wait_for_responses()
-            if self.closing:
-                # A response announced that the connection closes, so the
+            if self.closing or (self.server.finishing and self.outstanding):
+                # A response announces that the connection closes, so the
                 # caller sends this request again.
                 return
             self.start(request)
@@ -366,6 +366,15 @@
     application : Application
     max_connections : int
         Connections beyond this number are closed at once.
+
+    Attributes
+    ----------
+    tasks : set of asyncio.Task
+        Tasks of the requests that are being handled.
+    draining : bool
+        Each connection closes after the response to its last request.
+    finishing : bool
+        A request behind a running one of its connection is not handled.
     """
 
     def __init__(self, *, application: Application, max_connections: int):
@@ -374,8 +383,9 @@
         self.max_connections = max_connections
         self.connections: set[CallerConnection] = set()
         self.buffered_bodies = request_body.BufferedBytes()
-        self.running = 0
+        self.tasks: set[asyncio.Task] = set()
         self.draining = False
+        self.finishing = False
 
     async def handle_stream(self, stream, address) -> None:
         """Serve a connection unless there are too many; called by tornado."""
@@ -398,11 +408,18 @@
 
     async def run(self, request: caller_request.CallerRequest):
         """Handle a request and count it as running."""
-        self.running += 1
+        task = asyncio.current_task()
+        self.tasks.add(task)
         try:
             return await self.application.handle(request)
         finally:
-            self.running -= 1
+            self.tasks.discard(task)
+
+    def finish(self) -> None:
+        """Stop listening and handle no requests behind running ones."""
+        self.finishing = True
+        self.stop()
+        self.close_idle()
 
     def close_idle(self) -> None:
         """Close connections without a request in progress."""
@@ -410,6 +427,11 @@
             if connection.is_idle():
                 connection.stream.close()
 
+    def end_requests(self) -> None:
+        """Cancel the running requests; the application responds to them."""
+        for task in list(self.tasks):
+            task.cancel()
+
     def is_finished(self) -> bool:
         """Return whether no connection has a request in progress."""
         return all(connection.is_idle() for connection in self.connections)
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_shutdown.py
@@ -0,0 +1,123 @@
+"""Tests of the graceful shutdown, over real sockets."""
+
+import asyncio
+import contextlib
+import time
+
+from citronshelf_instance import shutdown
+from test_caller_connection import read_response
+from test_caller_connection import request_bytes
+from test_caller_connection import ScriptedApplication
+from test_caller_connection import SHORT
+
+PATIENT = SHORT._replace(head_timeout_s=10.0, idle_timeout_s=10.0)
+TABLE = {'accept_s': 0.2, 'grace_s': 3.3}
+
+
+def ignore():
+    """Leave the running requests as they are."""
+
+
+class TestCallers:
+    """The shutdown ends once each caller has its responses."""
+
+    # A caller that pipelines kept the instance running until the platform
+    # killed it, and lost the responses to its last requests.
+    def test_pipelining_caller_does_not_delay_the_end(self):
+        async def send(writer):
+            while True:
+                writer.write(request_bytes('/1'))
+                await asyncio.sleep(0.05)
+
+        async def run():
+            async with ScriptedApplication({'/1': 0.2}, PATIENT) as app:
+                reader, writer = await app.connect()
+                sender = asyncio.create_task(send(writer))
+                await asyncio.sleep(0.3)
+                async with asyncio.timeout(1.5):
+                    await shutdown.shut_down(app.server, TABLE, ignore)
+                sender.cancel()
+                responses = 0
+                with contextlib.suppress(
+                    asyncio.IncompleteReadError, ConnectionError
+                ):
+                    while True:
+                        await read_response(reader)
+                        responses += 1
+                writer.close()
+                return responses, app
+
+        responses, app = asyncio.run(run())
+        assert responses == len(app.started) == len(app.ended)
+
+    def test_new_connections_are_accepted_for_a_time(self):
+        async def run():
+            async with ScriptedApplication() as app:
+                ending = asyncio.create_task(
+                    shutdown.shut_down(app.server, TABLE, ignore)
+                )
+                await asyncio.sleep(0.1)
+                reader, writer = await app.connect()
+                writer.write(request_bytes('/1'))
+                _, body = await read_response(reader)
+                await ending
+                writer.close()
+                return body
+
+        assert asyncio.run(run()) == b'/1'
+
+    # An exit with unread bytes resets the connection, which may discard the
+    # response before it.
+    def test_waits_for_a_caller_to_close_its_connection(self):
+        async def run():
+            async with ScriptedApplication({'/1': 0.4}) as app:
+                reader, writer = await app.connect()
+                writer.write(request_bytes('/1'))
+                ending = asyncio.create_task(
+                    shutdown.shut_down(app.server, TABLE, ignore)
+                )
+                await asyncio.sleep(0.3)
+                writer.write(request_bytes('/2'))
+                _, body = await read_response(reader)
+                await asyncio.sleep(0.1)
+                ended_before = ending.done()
+                writer.close()
+                async with asyncio.timeout(0.5):
+                    await ending
+                return ended_before, body, app.started
+
+        assert asyncio.run(run()) == (False, b'/1', ['/1'])
+
+    # Callers that keep a closing connection open delayed each end by a second.
+    def test_does_not_wait_for_callers_that_never_close(self):
+        async def run():
+            async with ScriptedApplication() as app:
+                reader, writer = await app.connect()
+                app.server.draining = True
+                writer.write(request_bytes('/1'))
+                await read_response(reader)
+                began_s = time.monotonic()
+                await shutdown.shut_down(app.server, TABLE, ignore)
+                writer.close()
+                return time.monotonic() - began_s
+
+        assert asyncio.run(run()) < 0.7
+
+    def test_stays_within_the_grace_period(self):
+        table = {'accept_s': 3.0, 'grace_s': 0.6}
+        ended = []
+
+        async def run():
+            async with ScriptedApplication({'/1': 5.0}) as app:
+                _, writer = await app.connect()
+                writer.write(request_bytes('/1'))
+                await asyncio.sleep(0.05)
+                began_s = time.monotonic()
+                await shutdown.shut_down(
+                    app.server, table, lambda: ended.append(1)
+                )
+                writer.close()
+                return time.monotonic() - began_s
+
+        assert 0.5 <= asyncio.run(run()) < 1.0
+        assert ended == [1]
