instance: release the bodies of a finished request

Callers saw nothing yet: an open connection without a request kept its last request and its last answer, so callers that keep connections open after a download cost the instance their downloads' size each; machines have 200 MB.

Cause: the loops that read requests and write responses wait for the next one with the last one still in their local variables.

Fix: each request is read, and each response written, in a call of its own.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -157,30 +157,36 @@
         return not self.outstanding and not self.reading
 
     async def read_requests(self) -> None:
-        """Read requests up to the last of the connection or a read error."""
-        while True:
-            try:
-                read = await self.read_request()
-            except READ_ERRORS as fault:
-                self.log_incomplete_request(fault)
-                return
-            if read.is_error():
-                self.refuse(read.error)
-                await self.pending.join()
-                return
-            request = read.ok
-            if not self.server.application.may_run_concurrently(request.head):
-                await self.wait_for_responses()
-            if self.closing:
-                # A response announced that the connection closes, so the
-                # caller sends this request again.
-                return
-            self.start(request)
-            if not request.head.keep_alive:
-                return
+        """Read requests up to the last of the connection or a read error.
+
+        Each is read and started in a call of its own, so that its body is not
+        kept while the connection is idle.
+        """
+        while await self.read_and_start():
             if self.pending.full():
                 await self.wait_for_responses()
 
+    async def read_and_start(self) -> bool:
+        """Read and start one request; return whether another may follow."""
+        try:
+            read = await self.read_request()
+        except READ_ERRORS as fault:
+            self.log_incomplete_request(fault)
+            return False
+        if read.is_error():
+            self.refuse(read.error)
+            await self.pending.join()
+            return False
+        request = read.ok
+        if not self.server.application.may_run_concurrently(request.head):
+            await self.wait_for_responses()
+        if self.closing:
+            # A response announced that the connection closes, so the caller
+            # sends this request again.
+            return False
+        self.start(request)
+        return request.head.keep_alive
+
     def log_incomplete_request(self, fault: Exception) -> None:
         """Log a read error, unless the connection was idle."""
         if self.reading:
@@ -219,33 +225,40 @@
         self.pending.put_nowait(PendingRequest('', '', False, response))
 
     async def write_responses(self) -> None:
-        """Write responses in the order of their requests."""
-        while True:
-            pending = await self.pending.get()
-            try:
-                response = await pending.response
-            except asyncio.CancelledError:
-                self.cancel_request(pending)
-                raise
-            closes_connection = self.closing = self.should_close_after(
-                pending, response
-            )
-            data = caller_response.render(
-                response,
-                method=pending.method,
-                closes_connection=closes_connection,
-                limits=self.server.application.limits(),
-            )
-            try:
-                await self.stream.write(data)
-            except iostream.StreamClosedError:
-                return
-            self.outstanding -= 1
-            self.last_response_s = time.monotonic()
-            self.response_written.set()
-            self.pending.task_done()
-            if closes_connection:
-                return
+        """Write responses in the order of their requests.
+
+        Each is written in a call of its own, so that its body is not kept
+        while the connection is idle.
+        """
+        while await self.write_next_response():
+            pass
+
+    async def write_next_response(self) -> bool:
+        """Write one response; return whether another may follow."""
+        pending = await self.pending.get()
+        try:
+            response = await pending.response
+        except asyncio.CancelledError:
+            self.cancel_request(pending)
+            raise
+        closes_connection = self.closing = self.should_close_after(
+            pending, response
+        )
+        data = caller_response.render(
+            response,
+            method=pending.method,
+            closes_connection=closes_connection,
+            limits=self.server.application.limits(),
+        )
+        try:
+            await self.stream.write(data)
+        except iostream.StreamClosedError:
+            return False
+        self.outstanding -= 1
+        self.last_response_s = time.monotonic()
+        self.response_written.set()
+        self.pending.task_done()
+        return not closes_connection
 
     def should_close_after(
         self, pending: PendingRequest, response: caller_response.CallerResponse
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -1,6 +1,7 @@
 """Tests of caller connections, over real sockets."""
 
 import asyncio
+import sys
 
 import pytest
 
@@ -285,3 +286,40 @@
                 return (await read_response(reader))[1]
 
         assert asyncio.run(run()) == b'/1'
+
+
+class RepeatingApplication(ScriptedApplication):
+    """Application that keeps request bodies and returns one fixed body."""
+
+    def __init__(self, body):
+        super().__init__()
+        self.body = body
+        self.request_bodies = []
+
+    async def handle(self, request):
+        self.request_bodies.append(request.body)
+        return caller_response.CallerResponse(200, (), self.body)
+
+
+class TestIdleMemory:
+    """An idle connection keeps neither its last request nor the response.
+
+    Guards against a large response held for each idle connection.
+    """
+
+    def test_bodies_of_finished_requests_are_released(self):
+        async def run():
+            body = b'x' * 300_000
+            references = sys.getrefcount(body)
+            async with RepeatingApplication(body) as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1', 'POST', b'y' * 900))
+                await read_response(reader)
+                await asyncio.sleep(0.05)
+                kept = sys.getrefcount(body) - references
+                kept_requests = sys.getrefcount(application.request_bodies[0])
+                writer.close()
+            # The application itself has one reference to the body.
+            return kept - 1, kept_requests - 2
+
+        assert asyncio.run(run()) == (0, 0)
