instance: count answers until their callers have taken them

Cause: an answer was held, in two copies, until the caller's socket accepted it, or the connection ended, and this was counted nowhere. Between its last byte and the write, and while an error answer waits for a retry, it was not counted either.

Fix: an answer counts from its first byte at the exchange until the request has its outcome, and from then, without an iteration of the event loop in between, as delivery. At the limit the largest one ends: its caller's connection is closed before the declared length. Large bodies are not copied behind the head.

--- a/libs/citronshelf_entry/citronshelf_entry/exchange.py
+++ b/libs/citronshelf_entry/citronshelf_entry/exchange.py
@@ -296,7 +296,7 @@
         asyncio.get_running_loop().call_soon(self.cancel)
 
     def release_memory(self) -> None:
-        """Stop counting the buffered bytes of this exchange."""
+        """Stop counting the bytes of this exchange as held."""
         if self.memory is not None:
             self.memory.release(self)
 
@@ -354,14 +354,13 @@
         self.changed.set()
 
     def cancel(self) -> bool:
-        """Abort a running exchange; the response is not needed any more.
+        """Abort a running exchange.
 
         Returns
         -------
         bool
             True if it was still running.
         """
-        self.release_memory()
         if self.ended or self.curl is None:
             return False
         self.abort(self.curl)
@@ -399,17 +398,13 @@
             await self.changed.wait()
         if self.failure is not None:
             return self.failure
-        data = self.take_buffered()
+        data = self.buffer.take()
+        self.release_memory()
         if self.ended:
             return Part(data, True)
         self.resume()
         return Part(data, False)
 
-    def take_buffered(self) -> bytes:
-        """Remove and return the buffered bytes, which are counted no more."""
-        self.release_memory()
-        return self.buffer.take()
-
     def is_end_unconfirmed(self) -> bool:
         """Return whether all declared bytes arrived before libcurl finished.
 
@@ -421,7 +416,8 @@
     async def read_whole(self) -> bytes | classify.Failure:
         """Wait for the body, or for the rest of it after earlier reads.
 
-        It has at most ``max_response_bytes``.
+        It has at most ``max_response_bytes``, which count as held until
+        ``release_memory`` is called.
         """
         self.collecting = True
         self.resume()
@@ -430,7 +426,7 @@
             await self.changed.wait()
         if self.failure is not None:
             return self.failure
-        return self.take_buffered()
+        return self.buffer.take()
 
     def resume(self) -> None:
         """Resume the transfer if it is paused."""
--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -15,6 +15,7 @@
 
 from citronshelf_common import events as log_events
 from citronshelf_entry import request_head
+from citronshelf_entry import response_memory
 from citronshelf_entry import strict_connection
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
@@ -73,6 +74,47 @@
     request_id: str
     keep_alive: bool
     response: asyncio.Task
+    delivery: 'Delivery'
+
+
+class Delivery:
+    """A response that is held until the caller's socket has accepted it.
+
+    Parameters
+    ----------
+    request_id : str
+    stream : IOStream
+        Connection of the caller.
+    memory : ResponseMemory
+        Counts the body, and can close the connection.
+    """
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        stream: iostream.IOStream,
+        memory: response_memory.ResponseMemory,
+    ):
+        self.request_id = request_id
+        self.stream = stream
+        self.memory = memory
+
+    def begin(self, response: caller_response.CallerResponse) -> None:
+        """Count the body of the response."""
+        self.memory.add(self, len(response.body))
+
+    def end(self) -> None:
+        """Stop counting the body."""
+        self.memory.release(self)
+
+    def has_known_length(self) -> bool:
+        """Return True: the response is complete."""
+        return True
+
+    def drop_for_memory(self) -> None:
+        """Close the connection, so that the response looks incomplete."""
+        self.stream.close()
 
 
 class CallerConnection:
@@ -139,6 +181,7 @@
 
     def cancel_request(self, pending: PendingRequest) -> None:
         """Cancel a request and log it, unless it has finished."""
+        pending.delivery.end()
         if pending.response.cancel():
             log_events.log_event(
                 LOG, events.CALLER_GONE, request_id=pending.request_id
@@ -203,11 +246,22 @@
     def start(self, request: caller_request.CallerRequest) -> None:
         """Start handling a request in a task of its own."""
         head = request.head
-        task = asyncio.create_task(self.server.run(request))
+        delivery = self.make_delivery(head.request_id)
+        task = asyncio.create_task(self.server.run(request, delivery))
         self.outstanding += 1
         self.reading = False
         self.pending.put_nowait(
-            PendingRequest(head.method, head.request_id, head.keep_alive, task)
+            PendingRequest(
+                head.method, head.request_id, head.keep_alive, task, delivery
+            )
+        )
+
+    def make_delivery(self, request_id: str) -> Delivery:
+        """Return the delivery of one response on this connection."""
+        return Delivery(
+            request_id=request_id,
+            stream=self.stream,
+            memory=self.server.response_memory,
         )
 
     def refuse(self, refusal: request_head.RequestRefusal) -> None:
@@ -222,7 +276,9 @@
         )
         self.outstanding += 1
         self.reading = False
-        self.pending.put_nowait(PendingRequest('', '', False, response))
+        self.pending.put_nowait(
+            PendingRequest('', '', False, response, self.make_delivery(''))
+        )
 
     async def write_responses(self) -> None:
         """Write responses in the order of their requests.
@@ -244,16 +300,20 @@
         closes_connection = self.closing = self.should_close_after(
             pending, response
         )
-        data = caller_response.render(
+        parts = caller_response.render(
             response,
             method=pending.method,
             closes_connection=closes_connection,
             limits=self.server.application.limits(),
         )
         try:
-            await self.stream.write(data)
+            for part in parts[:-1]:
+                self.stream.write(part)
+            await self.stream.write(parts[-1])
         except iostream.StreamClosedError:
             return False
+        finally:
+            pending.delivery.end()
         self.outstanding -= 1
         self.last_response_s = time.monotonic()
         self.response_written.set()
@@ -350,10 +410,19 @@
     application : Application
     max_connections : int
         Connections beyond this number are closed at once.
+    memory : ResponseMemory
+        Limits the bytes that are held for responses.
     """
 
-    def __init__(self, *, application: Application, max_connections: int):
+    def __init__(
+        self,
+        *,
+        application: Application,
+        max_connections: int,
+        memory: response_memory.ResponseMemory,
+    ):
         super().__init__(max_buffer_size=MAX_BUFFER_BYTES)
+        self.response_memory = memory
         self.application = application
         self.max_connections = max_connections
         self.connections: set[CallerConnection] = set()
@@ -381,11 +450,18 @@
         finally:
             self.connections.discard(connection)
 
-    async def run(self, request: caller_request.CallerRequest):
-        """Handle a request and count it as running."""
+    async def run(
+        self, request: caller_request.CallerRequest, delivery: Delivery
+    ) -> caller_response.CallerResponse:
+        """Handle a request and count it as running, then begin its delivery.
+
+        Counting at once includes responses that wait for earlier ones.
+        """
         self.running += 1
         try:
-            return await self.application.handle(request)
+            response = await self.application.handle(request)
+            delivery.begin(response)
+            return response
         finally:
             self.running -= 1
 
--- a/libs/citronshelf_instance/citronshelf_instance/caller_response.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_response.py
@@ -18,6 +18,9 @@
 RETRY_AFTER_S = 0.15
 REPLACED_HEADERS = frozenset({'content-length'})
 TIMEOUT_REASON = 'timeout'
+# A body up to this size is copied behind the head, so that one packet can hold
+# both; a larger one is not copied.
+MAX_COPIED_BYTES = 64 * 1024
 
 
 class CallerResponse(NamedTuple):
@@ -87,8 +90,8 @@
     method: str,
     closes_connection: bool,
     limits: configuration.CallerLimits,
-) -> bytes:
-    """Encode a response.
+) -> list[bytes]:
+    """Encode a response in parts to be written in turn.
 
     Parameters
     ----------
@@ -110,4 +113,8 @@
     elif limits.idle_timeout_s >= 1:
         lines.append(f'Keep-Alive: timeout={int(limits.idle_timeout_s)}')
     head = '\r\n'.join((*lines, '', '')).encode('latin-1')
-    return head if method == 'HEAD' else head + response.body
+    if method == 'HEAD':
+        return [head]
+    if len(response.body) > MAX_COPIED_BYTES:
+        return [head, response.body]
+    return [head + response.body]
--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -41,9 +41,10 @@
 RESERVED_DESCRIPTORS = 600
 MIN_CONNECTIONS = 64
 # Share of the instance's memory for responses, and of that for a single one.
-# The program itself uses about a quarter of the smallest instance, bodies of
-# requests a fifth; the rest is for the sockets and for a copy of one response.
-RESPONSE_MEMORY_SHARE = 0.25
+# The program itself uses a quarter of the smallest instance and bodies of
+# requests at most a fifth; the rest is for sockets and for copies of responses
+# while they are completed.
+RESPONSE_MEMORY_SHARE = 0.2
 SINGLE_RESPONSE_SHARE = 0.5
 SETTINGS_POLL_INTERVAL_S = 5.0
 # Requests that arrive while the process starts wait for the first read of the
@@ -187,7 +188,9 @@
             names=self.names,
         )
         return caller_connection.CallerServer(
-            application=application, max_connections=max_connections
+            application=application,
+            max_connections=max_connections,
+            memory=self.response_memory,
         )
 
     def add_gauges(self, log_output: log_stream.BoundedLogStream) -> None:
--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -147,6 +147,11 @@
             ),
         )
 
+    def release_memory(self) -> None:
+        """Stop counting the response as held by this dispatch."""
+        if self.exchange is not None:
+            self.exchange.release_memory()
+
     def may_send(self) -> bool:
         """Return whether the server may still get work.
 
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -160,6 +160,7 @@
         self.dispatches = 0
         self.failed_connections = 0
         self.running: dict[asyncio.Task, dispatch.Dispatch] = {}
+        self.all_dispatches: list[dispatch.Dispatch] = []
         self.overdue_at_s: float | None = None
         self.unknown_reason = ''
         self.failed_response: outcomes.Response | None = None
@@ -274,6 +275,7 @@
         )
         task = asyncio.create_task(new_dispatch.run())
         self.running[task] = new_dispatch
+        self.all_dispatches.append(new_dispatch)
         self.overdue_at_s = now + self.stall_timeout_s(server)
         return True
 
@@ -352,6 +354,12 @@
         return outcomes.NotRun(reason=self.not_run_reason)
 
     def cancel(self) -> None:
-        """Cancel running dispatches, which closes their connections."""
+        """Cancel running dispatches, which closes their connections.
+
+        The responses of finished ones are released only now: a server's error
+        response is held while the request is retried.
+        """
         for task in self.running:
             task.cancel()
+        for any_dispatch in self.all_dispatches:
+            any_dispatch.release_memory()
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from citronshelf_entry import response_memory
 from citronshelf_instance import caller_connection
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
@@ -16,6 +17,7 @@
     head_timeout_s=0.3,
     idle_timeout_s=0.3,
 )
+RESPONSE_LIMIT_BYTES = 30_000_000
 
 
 class ScriptedApplication:
@@ -57,8 +59,11 @@
             limits=lambda: self.limits,
             names=caller_request.HeaderNames(),
         )
+        self.memory = response_memory.ResponseMemory(
+            limit_bytes=RESPONSE_LIMIT_BYTES
+        )
         self.server = caller_connection.CallerServer(
-            application=application, max_connections=4
+            application=application, max_connections=4, memory=self.memory
         )
         self.server.listen(0, '127.0.0.1')
         sockets = list(self.server._sockets.values())
@@ -323,3 +328,48 @@
             return kept - 1, kept_requests - 2
 
         assert asyncio.run(run()) == (0, 0)
+
+
+class TestBlockedCallers:
+    """Callers that do not read their responses hold a limited memory.
+
+    Guards against responses that are held without a limit.
+    """
+
+    def test_largest_response_is_cut_and_others_are_whole(self):
+        async def run():
+            body = b'x' * 20_000_000
+            async with RepeatingApplication(body) as application:
+                memory = application.memory
+                blocked, blocked_writer = await application.connect()
+                blocked_writer.write(request_bytes('/1'))
+                async with asyncio.timeout(2.0):
+                    while not memory.total_bytes:
+                        await asyncio.sleep(0.01)
+                application.body = b'x' * 15_000_000
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/2'))
+                _, received = await read_response(reader)
+                cut = await blocked.read()
+                await asyncio.sleep(0.05)
+                held_bytes = memory.total_bytes
+                for open_writer in (writer, blocked_writer):
+                    open_writer.close()
+                return len(cut) < len(body), len(received), held_bytes
+
+        assert asyncio.run(run()) == (True, 15_000_000, 0)
+
+    def test_response_behind_another_is_counted_and_released(self):
+        async def run():
+            async with ScriptedApplication({'/slow': 9}) as application:
+                _, writer = await application.connect()
+                writer.write(request_bytes('/slow') + request_bytes('/2'))
+                async with asyncio.timeout(2.0):
+                    while not application.memory.total_bytes:
+                        await asyncio.sleep(0.01)
+                held_bytes = application.memory.total_bytes
+                writer.close()
+                await asyncio.sleep(0.1)
+                return held_bytes, application.memory.total_bytes
+
+        assert asyncio.run(run()) == (2, 0)
