entry: fetch at most 32 MB from the store

Seen: a store that answers without an end was read up to 100 MB, tornado's default limit, which is half of the smallest machine on top of its program.

Fix: the client's limit on fetched bodies is 32 MB, two dozen of the store's largest items.

--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -27,6 +27,8 @@
 IDLE_CONNECTION_S = 20
 CANCEL_TIMEOUT_S = 1.0
 MAX_CANCELS = 64
+# Limit on a fetched resource: room for two dozen of the store's largest items.
+MAX_FETCHED_BYTES = 32 * 1024 * 1024
 
 CLIENT_FULL = classify.Failure(
     classify.ExecutionStatus.NOT_RUN,
@@ -148,7 +150,11 @@
         self, *, memory: response_memory.ResponseMemory | None = None
     ):
         self.memory = memory
-        self.curl = CurlClient(force_instance=True, max_clients=MAX_EXCHANGES)
+        self.curl = CurlClient(
+            force_instance=True,
+            max_clients=MAX_EXCHANGES,
+            max_body_size=MAX_FETCHED_BYTES,
+        )
         self.cancels = 0
 
     def start(self, upstream_request: UpstreamRequest) -> exchange.Exchange:
@@ -211,7 +217,10 @@
     async def fetch_small(
         self, url: str, timeout_s: float
     ) -> httpclient.HTTPResponse:
-        """Fetch a small resource; a failure is a response with status 599."""
+        """Fetch a small resource; a failure is a response with status 599.
+
+        A body above ``MAX_FETCHED_BYTES`` is a failure.
+        """
         request = httpclient.HTTPRequest(
             url,
             connect_timeout=timeout_s,
