--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -15,6 +15,7 @@
 
 from citronshelf_common import events as log_events
 from citronshelf_entry import request_head
+from citronshelf_entry import response_memory
 from citronshelf_entry import strict_connection
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
@@ -77,6 +78,47 @@
     request_id: str
     keep_alive: bool
     response: asyncio.Task
+    delivery: 'Delivery'
+
+
+class Delivery:
+    """A response that is held until the caller's socket has accepted it.
+
+    Parameters
+    ----------
+    request_id : str
+    stream : IOStream
+        Connection of the caller.
+    memory : ResponseMemory
+        Counts the body, and can close the connection.
+    """
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        stream: iostream.IOStream,
+        memory: response_memory.ResponseMemory,
+    ):
+        self.request_id = request_id
+        self.stream = stream
+        self.memory = memory
+
+    def begin(self, response: caller_response.CallerResponse) -> None:
+        """Count the body of the response."""
+        self.memory.add(self, len(response.body))
+
+    def end(self) -> None:
+        """Stop counting the body."""
+        self.memory.release(self)
+
+    def has_known_length(self) -> bool:
+        """Return True: the response is complete."""
+        return True
+
+    def drop_for_memory(self) -> None:
+        """Close the connection, so that the response looks incomplete."""
+        self.stream.close()
 
 
 class CallerConnection:
@@ -146,6 +188,7 @@
 
     def cancel_request(self, pending: PendingRequest) -> None:
         """Cancel a request and log it, unless it has finished."""
+        pending.delivery.end()
         if pending.response.cancel():
             log_events.log_event(
                 LOG, events.CALLER_GONE, request_id=pending.request_id
@@ -164,30 +207,36 @@
         return not self.outstanding and not self.reading
 
     async def read_requests(self) -> None:
-        """Read requests up to the last of the connection or a read error."""
-        while True:
-            try:
-                read = await self.read_request()
-            except READ_ERRORS as fault:
-                self.log_incomplete_request(fault)
-                return
-            if read.is_error():
-                self.refuse(read.error)
-                await self.pending.join()
-                return
-            request = read.ok
-            if not self.server.application.may_run_concurrently(request.head):
-                await self.wait_for_responses()
-            if self.closing or (self.server.finishing and self.outstanding):
-                # A response announces that the connection closes, so the
-                # caller sends this request again.
-                return
-            self.start(request)
-            if not request.head.keep_alive:
-                return
+        """Read requests up to the last of the connection or a read error.
+
+        Each is read and started in a call of its own, so that its body is not
+        kept while the connection is idle.
+        """
+        while await self.read_and_start():
             if self.pending.full():
                 await self.wait_for_responses()
 
+    async def read_and_start(self) -> bool:
+        """Read and start one request; return whether another may follow."""
+        try:
+            read = await self.read_request()
+        except READ_ERRORS as fault:
+            self.log_incomplete_request(fault)
+            return False
+        if read.is_error():
+            self.refuse(read.error)
+            await self.pending.join()
+            return False
+        request = read.ok
+        if not self.server.application.may_run_concurrently(request.head):
+            await self.wait_for_responses()
+        if self.closing or (self.server.finishing and self.outstanding):
+            # A response announces that the connection closes, so the caller
+            # sends this request again.
+            return False
+        self.start(request)
+        return request.head.keep_alive
+
     def log_incomplete_request(self, fault: Exception) -> None:
         """Log a read error, unless the connection was idle."""
         if self.reading:
@@ -207,12 +256,23 @@
     def start(self, request: caller_request.CallerRequest) -> None:
         """Start handling a request in a task of its own."""
         head = request.head
-        task = asyncio.create_task(self.server.run(request))
+        delivery = self.make_delivery(head.request_id)
+        task = asyncio.create_task(self.server.run(request, delivery))
         self.outstanding += 1
         self.reading = False
         self.head_data = b''
         self.pending.put_nowait(
-            PendingRequest(head.method, head.request_id, head.keep_alive, task)
+            PendingRequest(
+                head.method, head.request_id, head.keep_alive, task, delivery
+            )
+        )
+
+    def make_delivery(self, request_id: str) -> Delivery:
+        """Return the delivery of one response on this connection."""
+        return Delivery(
+            request_id=request_id,
+            stream=self.stream,
+            memory=self.server.response_memory,
         )
 
     def refuse(self, refusal: request_head.RequestRefusal) -> None:
@@ -227,7 +287,9 @@
         )
         self.outstanding += 1
         self.reading = False
-        self.pending.put_nowait(PendingRequest('', '', False, response))
+        self.pending.put_nowait(
+            PendingRequest('', '', False, response, self.make_delivery(''))
+        )
 
     def find_request_id(self) -> str:
         """Return the id of the request being read, empty if unknown."""
@@ -235,35 +297,46 @@
         return caller_request.find_request_id(self.head_data, names)
 
     async def write_responses(self) -> None:
-        """Write responses in the order of their requests."""
-        while True:
-            pending = await self.pending.get()
-            try:
-                response = await pending.response
-            except asyncio.CancelledError:
-                self.cancel_request(pending)
-                raise
-            closes_connection = self.closing = self.should_close_after(
-                pending, response
-            )
-            limits = self.server.application.limits()
-            self.announced_idle_s = limits.idle_timeout_s
-            data = caller_response.render(
-                response,
-                method=pending.method,
-                closes_connection=closes_connection,
-                limits=limits,
-            )
-            try:
-                await self.stream.write(data)
-            except iostream.StreamClosedError:
-                return
-            self.outstanding -= 1
-            self.last_response_s = time.monotonic()
-            self.response_written.set()
-            self.pending.task_done()
-            if closes_connection:
-                return
+        """Write responses in the order of their requests.
+
+        Each is written in a call of its own, so that its body is not kept
+        while the connection is idle.
+        """
+        while await self.write_next_response():
+            pass
+
+    async def write_next_response(self) -> bool:
+        """Write one response; return whether another may follow."""
+        pending = await self.pending.get()
+        try:
+            response = await pending.response
+        except asyncio.CancelledError:
+            self.cancel_request(pending)
+            raise
+        closes_connection = self.closing = self.should_close_after(
+            pending, response
+        )
+        limits = self.server.application.limits()
+        self.announced_idle_s = limits.idle_timeout_s
+        parts = caller_response.render(
+            response,
+            method=pending.method,
+            closes_connection=closes_connection,
+            limits=limits,
+        )
+        try:
+            for part in parts[:-1]:
+                self.stream.write(part)
+            await self.stream.write(parts[-1])
+        except iostream.StreamClosedError:
+            return False
+        finally:
+            pending.delivery.end()
+        self.outstanding -= 1
+        self.last_response_s = time.monotonic()
+        self.response_written.set()
+        self.pending.task_done()
+        return not closes_connection
 
     def should_close_after(
         self, pending: PendingRequest, response: caller_response.CallerResponse
@@ -366,6 +439,8 @@
     application : Application
     max_connections : int
         Connections beyond this number are closed at once.
+    memory : ResponseMemory
+        Limits the bytes that are held for responses.
 
     Attributes
     ----------
@@ -377,8 +452,15 @@
         A request behind a running one of its connection is not handled.
     """
 
-    def __init__(self, *, application: Application, max_connections: int):
+    def __init__(
+        self,
+        *,
+        application: Application,
+        max_connections: int,
+        memory: response_memory.ResponseMemory,
+    ):
         super().__init__(max_buffer_size=MAX_BUFFER_BYTES)
+        self.response_memory = memory
         self.application = application
         self.max_connections = max_connections
         self.connections: set[CallerConnection] = set()
@@ -406,12 +488,19 @@
         finally:
             self.connections.discard(connection)
 
-    async def run(self, request: caller_request.CallerRequest):
-        """Handle a request and count it as running."""
+    async def run(
+        self, request: caller_request.CallerRequest, delivery: Delivery
+    ) -> caller_response.CallerResponse:
+        """Handle a request and count it as running, then begin its delivery.
+
+        Counting at once includes responses that wait for earlier ones.
+        """
         task = asyncio.current_task()
         self.tasks.add(task)
         try:
-            return await self.application.handle(request)
+            response = await self.application.handle(request)
+            delivery.begin(response)
+            return response
         finally:
             self.tasks.discard(task)
 
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -3,12 +3,14 @@
 import asyncio
 import itertools
 import socket
+import sys
 
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 import pytest
 
+from citronshelf_entry import response_memory
 from citronshelf_instance import caller_connection
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
@@ -20,6 +22,7 @@
     head_timeout_s=0.3,
     idle_timeout_s=0.3,
 )
+RESPONSE_LIMIT_BYTES = 30_000_000
 
 
 class ScriptedApplication:
@@ -65,8 +68,11 @@
                 (refusal.status, request_id)
             ),
         )
+        self.memory = response_memory.ResponseMemory(
+            limit_bytes=RESPONSE_LIMIT_BYTES
+        )
         self.server = caller_connection.CallerServer(
-            application=application, max_connections=4
+            application=application, max_connections=4, memory=self.memory
         )
         self.server.listen(0, '127.0.0.1')
         sockets = list(self.server._sockets.values())
@@ -545,3 +551,85 @@
                 return (await read_response(reader))[1]
 
         assert asyncio.run(run()) == b'/1'
+
+
+class RepeatingApplication(ScriptedApplication):
+    """Application that keeps request bodies and returns one fixed body."""
+
+    def __init__(self, body):
+        super().__init__()
+        self.body = body
+        self.request_bodies = []
+
+    async def handle(self, request):
+        self.request_bodies.append(request.body)
+        return caller_response.CallerResponse(200, (), self.body)
+
+
+class TestIdleMemory:
+    """An idle connection keeps neither its last request nor the response.
+
+    Guards against a large response held for each idle connection.
+    """
+
+    def test_bodies_of_finished_requests_are_released(self):
+        async def run():
+            body = b'x' * 300_000
+            references = sys.getrefcount(body)
+            async with RepeatingApplication(body) as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1', 'POST', b'y' * 900))
+                await read_response(reader)
+                await asyncio.sleep(0.05)
+                kept = sys.getrefcount(body) - references
+                kept_requests = sys.getrefcount(application.request_bodies[0])
+                writer.close()
+            # The application itself has one reference to the body.
+            return kept - 1, kept_requests - 2
+
+        assert asyncio.run(run()) == (0, 0)
+
+
+class TestBlockedCallers:
+    """Callers that do not read their responses hold a limited memory.
+
+    Guards against responses that are held without a limit.
+    """
+
+    def test_largest_response_is_cut_and_others_are_whole(self):
+        async def run():
+            body = b'x' * 20_000_000
+            async with RepeatingApplication(body) as application:
+                memory = application.memory
+                blocked, blocked_writer = await application.connect()
+                blocked_writer.write(request_bytes('/1'))
+                async with asyncio.timeout(2.0):
+                    while not memory.total_bytes:
+                        await asyncio.sleep(0.01)
+                application.body = b'x' * 15_000_000
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/2'))
+                _, received = await read_response(reader)
+                cut = await blocked.read()
+                await asyncio.sleep(0.05)
+                held_bytes = memory.total_bytes
+                for open_writer in (writer, blocked_writer):
+                    open_writer.close()
+                return len(cut) < len(body), len(received), held_bytes
+
+        assert asyncio.run(run()) == (True, 15_000_000, 0)
+
+    def test_response_behind_another_is_counted_and_released(self):
+        async def run():
+            async with ScriptedApplication({'/slow': 9}) as application:
+                _, writer = await application.connect()
+                writer.write(request_bytes('/slow') + request_bytes('/2'))
+                async with asyncio.timeout(2.0):
+                    while not application.memory.total_bytes:
+                        await asyncio.sleep(0.01)
+                held_bytes = application.memory.total_bytes
+                writer.close()
+                await asyncio.sleep(0.1)
+                return held_bytes, application.memory.total_bytes
+
+        assert asyncio.run(run()) == (2, 0)
