instance: count bodies until their requests have ended

Seen in a search for other bytes that are held without a limit: a body counted for the limit on all bodies (40 MB) only while it was read, not while its request waited for a server, so slow servers let bodies grow without a limit.

Fix: it counts until the request has ended. A body beyond the limit is refused with 503 before it is routed, as before.

test_caller_connection.py::TestBodiesOfRunningRequests: a second body beside a running one was accepted (200) above the limit before; it is refused (503) now, and accepted once the first request has ended. platform/tests: 87 passed.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -455,14 +455,17 @@
     ) -> caller_response.CallerResponse:
         """Handle a request and count it as running, then begin its delivery.
 
-        Counting at once includes responses that wait for earlier ones.
+        The response counts as held at once, as it may wait for earlier ones;
+        the body of the request does until the request has ended.
         """
         self.running += 1
+        self.buffered_bodies.add(len(request.body))
         try:
             response = await self.application.handle(request)
             delivery.begin(response)
             return response
         finally:
+            self.buffered_bodies.remove(len(request.body))
             self.running -= 1
 
     def record_refusal(self, refusal: request_head.RequestRefusal) -> None:
--- a/libs/citronshelf_instance/citronshelf_instance/request_body.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_body.py
@@ -15,27 +15,31 @@
 MAX_CHUNK_LINE_BYTES = 256
 # Hexadecimal digits in the length of one chunk.
 MAX_CHUNK_LENGTH_DIGITS = 8
-# Limit on all bodies being read: a fifth of the memory of the smallest
-# instance.
+# Limit on all bodies of requests that are being read or running: a fifth of
+# the memory of the smallest instance.
 MAX_BUFFERED_BYTES = 40 * 1024 * 1024
 
 
 class BufferedBytes:
-    """Total size of the bodies being read on all connections."""
+    """Total size of the bodies of requests that are being read or running."""
 
     def __init__(self):
         self.size = 0
 
+    def add(self, count: int) -> None:
+        """Add the bytes of a body whose request runs."""
+        self.size += count
+
     def try_add(self, count: int) -> bool:
         """Add bytes and return whether the total is within the limit.
 
         They are added in either case and must be removed later.
         """
-        self.size += count
+        self.add(count)
         return self.size <= MAX_BUFFERED_BYTES
 
     def remove(self, count: int) -> None:
-        """Subtract the bytes of a body that is no longer being read."""
+        """Subtract bytes that were added."""
         self.size -= count
 
 
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -10,6 +10,7 @@
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
 from citronshelf_instance import configuration
+from citronshelf_instance import request_body
 
 SHORT = configuration.CallerLimits(
     max_head_bytes=1024,
@@ -373,3 +374,35 @@
                 return held_bytes, application.memory.total_bytes
 
         assert asyncio.run(run()) == (2, 0)
+
+
+class TestBodiesOfRunningRequests:
+    """Bodies count for their common limit until their requests end.
+
+    Guards against bodies that are held without a limit while servers are
+    slow.
+    """
+
+    def test_body_beyond_the_limit_is_refused(self, monkeypatch):
+        monkeypatch.setattr(request_body, 'MAX_BUFFERED_BYTES', 1500)
+
+        async def send(application, path):
+            reader, writer = await application.connect()
+            writer.write(request_bytes(path, 'POST', b'y' * 900))
+            head, _ = await read_response(reader)
+            writer.close()
+            return head.split(' ')[1]
+
+        async def run():
+            async with ScriptedApplication({'/1': 0.3}) as application:
+                running = asyncio.create_task(send(application, '/1'))
+                async with asyncio.timeout(2.0):
+                    while not application.started:
+                        await asyncio.sleep(0.01)
+                beside = await send(application, '/2')
+                first = await running
+                after = await send(application, '/3')
+                held_bytes = application.server.buffered_bodies.size
+                return first, beside, after, held_bytes, application.started
+
+        assert asyncio.run(run()) == ('200', '503', '200', 0, ['/1', '/3'])
