--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -223,7 +223,7 @@
         """
         request = httpclient.HTTPRequest(
             url,
-            connect_timeout=timeout_s,
+            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
             follow_redirects=False,
             decompress_response=False,
--- a/libs/citronshelf_entry/tests/test_upstream.py
+++ b/libs/citronshelf_entry/tests/test_upstream.py
@@ -1,6 +1,9 @@
 """Tests of exchanges with backend servers, using raw sockets."""
 
 import asyncio
+import contextlib
+import socket
+import time
 
 import pycurl
 import pytest
@@ -350,6 +353,34 @@
         assert server.heads == []
 
 
+class TestFetch:
+    """Small resources, such as responses of the store."""
+
+    # Guards against a silent store that is noticed only when the wait of a
+    # watch ends, up to half a minute later.
+    def test_silent_address_fails_before_a_long_timeout(self):
+        async def run(port):
+            client = upstream.UpstreamClient()
+            began_s = time.monotonic()
+            response = await client.fetch_small(f'http://127.0.0.1:{port}', 10)
+            client.close()
+            return response.code, time.monotonic() - began_s
+
+        with contextlib.ExitStack() as stack:
+            listener = stack.enter_context(socket.socket())
+            listener.bind(('127.0.0.1', 0))
+            listener.listen(0)
+            address = listener.getsockname()
+            # Further connections are not answered while the queue is full.
+            for _ in range(2):
+                filler = stack.enter_context(socket.socket())
+                filler.setblocking(False)
+                filler.connect_ex(address)
+            code, elapsed_s = asyncio.run(run(address[1]))
+        assert code == 599
+        assert elapsed_s < 2 * upstream.CONNECT_TIMEOUT_S
+
+
 class TestFailures:
     """Only a failure with nothing sent means that the work did not run."""
 
