instance: abort dispatches before the outcome of their request is decided

A request that timed out or that the shutdown ended was answered 503 ("not run") if its dispatch had sent nothing, but the dispatch was cancelled only in a later iteration of the event loop. Until then libcurl could send the request, so that it ran after the promise.

The exchange is now aborted at once, before the decision, and may_send refuses. After that libcurl calls nothing of this exchange, and its bytes are released.

--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -103,6 +103,7 @@
         self.started_s = forwarder.clock()
         self.exchange: exchange.Exchange | None = None
         self.stalled = False
+        self.aborted = False
 
     async def run(self) -> Result:
         """Send the request and return its result.
@@ -157,17 +158,25 @@
             ),
         )
 
-    def release_memory(self) -> None:
-        """Stop counting the response as held by this dispatch."""
+    def abort(self) -> None:
+        """Abort the exchange at once and stop counting its response as held.
+
+        Cancelling the task takes effect only after libcurl may have sent the
+        request or received more bytes.
+        """
+        self.aborted = True
         if self.exchange is not None:
+            self.exchange.cancel()
             self.exchange.release_memory()
 
     def may_send(self) -> bool:
         """Return whether the server may still get work.
 
-        The client calls this just before sending: the server may have left or
-        begun to drain since it was chosen.
+        The client calls this just before sending: since it was chosen, the
+        server may have left or begun to drain, or the request may have ended.
         """
+        if self.aborted:
+            return False
         known = self.forwarder.placer.directory.servers.get(
             self.server.server_id
         )
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -349,10 +349,7 @@
         """
         for running_dispatch in self.running.values():
             running_dispatch.record_timeout()
-        if any(
-            running_dispatch.is_sent()
-            for running_dispatch in self.running.values()
-        ):
+        if self.abort_running():
             self.unknown_reason = (
                 self.unknown_reason or caller_response.TIMEOUT_REASON
             )
@@ -363,14 +360,23 @@
         response = self.collect_finished()
         if response is not None:
             return response
-        if any(
-            running_dispatch.is_sent()
-            for running_dispatch in self.running.values()
-        ):
+        if self.abort_running():
             self.unknown_reason = self.unknown_reason or SHUTDOWN_REASON
         self.not_run_reason = SHUTDOWN_REASON
         return self.final_outcome()
 
+    def abort_running(self) -> bool:
+        """Abort running dispatches; return whether one may have been sent.
+
+        Nothing is sent after this, so that an outcome "not run" stays true.
+        """
+        for running_dispatch in self.running.values():
+            running_dispatch.abort()
+        return any(
+            running_dispatch.is_sent()
+            for running_dispatch in self.running.values()
+        )
+
     def final_outcome(self) -> outcomes.Outcome:
         """Return the outcome of a request without a good response.
 
@@ -392,4 +398,4 @@
         for task in self.running:
             task.cancel()
         for any_dispatch in self.all_dispatches:
-            any_dispatch.release_memory()
+            any_dispatch.abort()
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -375,3 +375,44 @@
                 return await harness.run(), harness.servers.heads
 
         assert asyncio.run(run()) == (outcomes.NotRun(reason='shutdown'), [])
+
+
+class TestDecided:
+    """Once a request has its outcome, its dispatches send nothing more."""
+
+    async def decide(self, decide, *, started):
+        """Return the outcome, the dispatch, and the heads at the server."""
+        async with Harness(HANG) as harness:
+            routed = routing.RoutedService(make_route(), 'ledger')
+            running = forwarding.RunningRequest(
+                forwarder=harness.forwarder,
+                request=make_request(),
+                routed=routed,
+            )
+            running.start(is_retry=False)
+            if started:
+                await asyncio.sleep(0)
+            [decided] = running.running.values()
+            outcome = decide(running)
+            may_send = decided.may_send()
+            ended = decided.exchange is None or decided.exchange.ended
+            running.cancel()
+            await asyncio.sleep(0.05)
+            return outcome, may_send, ended, harness.servers.heads
+
+    # Guards against a promise "not run" for a request that is sent before the
+    # cancelled task runs.
+    @pytest.mark.parametrize('started', [True, False])
+    @pytest.mark.parametrize(
+        'decide',
+        [
+            forwarding.RunningRequest.stop,
+            forwarding.RunningRequest.time_out,
+        ],
+    )
+    def test_request_that_was_not_sent_never_is(self, decide, started):
+        outcome, may_send, ended, heads = asyncio.run(
+            self.decide(decide, started=started)
+        )
+        assert isinstance(outcome, outcomes.NotRun)
+        assert (may_send, ended, heads) == (False, True, [])
