instance: deny no request by limits that nobody has published

Callers of an instance that knew no configuration got 431 for a head over 16 KiB and 413 for a declared body over 64 MiB, which they do not retry, although the published limits may be higher. Such an instance must answer 503.

Cause: before the first configuration the published state had the default limits of CallerLimits, which looked like published ones.

The state now has no limits until a configuration brings them. A connection still reads by the defaults, but refuses by them with 503 ("no configuration") and Retry-After. The limits and whether they are published are taken together when the request begins, so that a configuration that arrives meanwhile makes no difference. Malformed requests still get 400.

TestUnpublishedLimits.test_request_over_a_default_limit_may_be_repeated failed before, in both cases: 'HTTP/1.1 431' and 'HTTP/1.1 413 Request Entity Too Large' instead of 503.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -33,6 +33,9 @@
 # refused with a response; a longer one closes the connection without any.
 MAX_READ_HEAD_FACTOR = 4
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
+# Limits until the first ones are known. They deny no request.
+DEFAULT_LIMITS = configuration.CallerLimits()
+LIMIT_STATUSES = frozenset({413, 431})
 
 # Errors of the caller or its connection while a request is read.
 READ_ERRORS = (
@@ -54,7 +57,7 @@
         Called with a ``RequestHead``; returns whether the request may run
         before earlier ones of its connection have their responses.
     limits : callable
-        Returns the ``CallerLimits`` in force.
+        Returns the ``CallerLimits`` in force; None if none are known.
     names : HeaderNames
     record_refusal : callable
         Called with each ``RequestRefusal`` of a request that cannot be read,
@@ -66,7 +69,7 @@
         Awaitable[caller_response.CallerResponse],
     ]
     may_run_concurrently: Callable[[caller_request.RequestHead], bool]
-    limits: Callable[[], configuration.CallerLimits]
+    limits: Callable[[], configuration.CallerLimits | None]
     names: caller_request.HeaderNames
     record_refusal: Callable[[request_head.RequestRefusal, str], None]
 
@@ -316,7 +319,7 @@
         closes_connection = self.closing = self.should_close_after(
             pending, response
         )
-        limits = self.server.application.limits()
+        limits = self.limits()
         self.announced_idle_s = limits.idle_timeout_s
         parts = caller_response.render(
             response,
@@ -364,7 +367,14 @@
         self.reading = True
         self.head_data = b''
         # Other limits may have come into force while the connection was idle.
-        limits = self.server.application.limits()
+        published = self.server.application.limits()
+        read = await self.read_within(first, published or DEFAULT_LIMITS)
+        return read if published else read.map_error(withhold_denial)
+
+    async def read_within(
+        self, first: bytes, limits: configuration.CallerLimits
+    ) -> Result:
+        """Read the rest of a request as ``read_request`` returns it."""
         async with asyncio.timeout(limits.head_timeout_s):
             rest = await self.stream.read_until(
                 b'\r\n\r\n',
@@ -427,8 +437,11 @@
 
         That is at least as long as the last response announced.
         """
-        limits = self.server.application.limits()
-        return max(self.announced_idle_s, limits.idle_timeout_s)
+        return max(self.announced_idle_s, self.limits().idle_timeout_s)
+
+    def limits(self) -> configuration.CallerLimits:
+        """Return the limits in force, or the default ones."""
+        return self.server.application.limits() or DEFAULT_LIMITS
 
 
 class CallerServer(tcpserver.TCPServer):
@@ -527,3 +540,12 @@
     def is_finished(self) -> bool:
         """Return whether no connection has a request in progress."""
         return all(connection.is_idle() for connection in self.connections)
+
+
+def withhold_denial(
+    refusal: request_head.RequestRefusal,
+) -> request_head.RequestRefusal:
+    """Return the refusal from an instance that knows no published limits."""
+    if refusal.status in LIMIT_STATUSES:
+        return request_head.RequestRefusal(503, 'no configuration')
+    return refusal
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -42,6 +42,8 @@
     confirmed_s : float or None
         Time at which the store, or a reader of it, last showed that the state
         was the newest; None if it never did.
+    limits : CallerLimits or None
+        Limits in force; None before the first configuration.
     """
 
     def __init__(
@@ -60,7 +62,7 @@
         self.confirmed_s: float | None = None
         self.configuration: configuration.Configuration | None = None
         self.routes: routing.RouteTable | None = None
-        self.limits = configuration.CallerLimits()
+        self.limits: configuration.CallerLimits | None = None
         self.on_change = lambda: None
         self.routable = asyncio.Event()
 
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+import random
 import socket
 import sys
+import time
 
 from hypothesis import given
 from hypothesis import settings
@@ -15,6 +17,8 @@
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
 from citronshelf_instance import configuration
+from citronshelf_instance import published
+from citronshelf_instance import registrations
 from citronshelf_instance import request_body
 
 SHORT = configuration.CallerLimits(
@@ -458,6 +462,63 @@
         assert asyncio.run(run()).startswith(f'HTTP/1.1 {status}')
 
 
+def unpublished_limits():
+    """Return the limits of an instance that knows no configuration."""
+    state = published.PublishedState(
+        directory=registrations.Directory(clock=time.monotonic),
+        clock=time.monotonic,
+        rng=random.Random(1),
+    )
+    return state.limits
+
+
+class TestUnpublishedLimits:
+    """No request is denied by a limit that nobody has published."""
+
+    # Guards against 431 and 413 from an instance that knows no configuration.
+    @pytest.mark.parametrize(
+        'extra',
+        ['A: ' + 'x' * 17_000 + '\r\n', 'Content-Length: 67108865\r\n'],
+        ids=['head', 'body'],
+    )
+    def test_request_over_a_default_limit_may_be_repeated(self, extra):
+        async def run():
+            limits = unpublished_limits()
+            async with ScriptedApplication(limits=limits) as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1', 'POST', extra=extra))
+                return (await read_response(reader))[0], application.refusals
+
+        head, refusals = asyncio.run(run())
+        assert head.startswith('HTTP/1.1 503')
+        assert 'Retry-After: ' in head
+        assert [status for status, _ in refusals] == [503]
+
+    def test_malformed_request_is_refused(self):
+        async def run():
+            limits = unpublished_limits()
+            async with ScriptedApplication(limits=limits) as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1', extra='A b: 1\r\n'))
+                return (await read_response(reader))[0]
+
+        assert asyncio.run(run()).startswith('HTTP/1.1 400')
+
+    def test_connection_is_kept_for_the_default_timeout(self):
+        async def run():
+            limits = unpublished_limits()
+            async with ScriptedApplication(limits=limits) as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1'))
+                head, _ = await read_response(reader)
+                writer.write(request_bytes('/2'))
+                return head, (await read_response(reader))[1]
+
+        head, body = asyncio.run(run())
+        assert 'Keep-Alive: timeout=15' in head
+        assert body == b'/2'
+
+
 class TestChangedLimits:
     """A kept connection follows the limits that are in force."""
 
