instance: ask other instances until the state is known

Callers of an instance that started in an outage of the store got 503 for 1.4 to 3 s, though other instances had the state.

Cause: the state was requested only when a message announced a newer change or a call to the store had failed, each time from one random member and at most every 0.5 s. The request was dropped without notice if the connection to that member was not established, which is usual after a start, and got no reply if the member had no state itself. The first Join was dropped in the same way and repeated after 0.5 s.

The first Join is now sent as soon as a connection to a seed is established. From 0.3 s after the start, while the store has not responded, the state is requested until there is one: first from instances that announced a newer change, over the connection by which that arrived, then from any whose connection is established, at intervals from 0.1 to 0.5 s. Reports of readers are not used for that, since they reach a whole region at once. An instance sends at most 20 copies a second, so that many that start together do not take all of its bandwidth; those without a reply ask another one.

--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -1,8 +1,11 @@
 """Exchange of evidence, members and published state with peers."""
 
 import asyncio
+import collections
+from collections.abc import Hashable
 import logging
 import random
+from typing import NamedTuple
 
 from citronshelf_common import events as log_events
 from citronshelf_common import fleet
@@ -40,6 +43,28 @@
 EVIDENCE_DELAY_S = 1.0
 MAX_PENDING_OBSERVATIONS = 200
 FETCH_INTERVAL_S = 0.5
+# Interval between the first requests for the state after a start; it doubles
+# up to FETCH_INTERVAL_S with each request.
+INITIAL_FETCH_INTERVAL_S = 0.1
+# Instances that are tried for one request, in case that their connections are
+# not established.
+MAX_FETCH_ATTEMPTS = 4
+# Instances remembered because they announced a newer change.
+MAX_INFORMED_PEERS = 8
+# An instance sends copies of its state at this interval, after a pause of
+# MAX_COPY_CREDIT_S several at once. Those that get none ask another instance.
+COPY_INTERVAL_S = 0.05
+MAX_COPY_CREDIT_S = 1.0
+# Interval between attempts to send the first ``Join`` while no connection to a
+# seed is established.
+JOIN_RETRY_INTERVAL_S = 0.1
+
+
+class InformedPeer(NamedTuple):
+    """Route to an instance that announced a newer change."""
+
+    revision: int
+    route: Hashable
 
 
 class Peers:
@@ -86,7 +111,12 @@
         self.next_remote_heartbeat_s = 0.0
         self.next_report_s = 0.0
         self.has_left = False
-        self.last_fetch_s = float('-inf')
+        self.next_fetch_s = float('-inf')
+        self.fetch_interval_s = INITIAL_FETCH_INTERVAL_S
+        self.informed: collections.deque[InformedPeer] = collections.deque(
+            maxlen=MAX_INFORMED_PEERS
+        )
+        self.next_copy_s = float('-inf')
         self.on_peer_revision = lambda revision: None
         self.is_store_current = lambda: False
         links.on_message = self.receive
@@ -98,7 +128,7 @@
     async def run(self) -> None:
         """Send joins and heartbeats and expire members until cancelled."""
         while True:
-            self.send_joins()
+            is_joined = self.send_joins() or bool(self.members.known)
             for member in self.members.expire():
                 self.links.disconnect(member.address)
             now = self.clock()
@@ -107,23 +137,27 @@
                 self.send_heartbeats()
             if now >= self.next_report_s:
                 self.send_report()
-            await asyncio.sleep(
-                MEMBERSHIP_INTERVAL_S * self.rng.uniform(0.8, 1.2)
+            interval_s = (
+                MEMBERSHIP_INTERVAL_S if is_joined else JOIN_RETRY_INTERVAL_S
             )
+            await asyncio.sleep(interval_s * self.rng.uniform(0.8, 1.2))
 
-    def send_joins(self) -> None:
+    def send_joins(self) -> bool:
         """Send ``Join`` to instances that may not know this one.
 
         These are the seeds while no member is known, and the members of the
-        region from which no message was received directly.
+        region from which no message was received directly. Returns whether a
+        message was queued.
         """
         message = peer_messages.Join(self.own, self.state.change_revision)
+        addresses = [
+            peer.member.address
+            for peer in self.members.in_region()
+            if not peer.direct
+        ]
         if not self.members.known:
-            for seed in self.seeds:
-                self.send(seed, message)
-        for peer in self.members.in_region():
-            if not peer.direct:
-                self.send(peer.member.address, message)
+            addresses = self.seeds
+        return any([self.send(address, message) for address in addresses])
 
     def send_heartbeats(self) -> None:
         """Send heartbeats to a few random instances of the region.
@@ -283,17 +317,17 @@
                 self.links.connect(message.sender.address)
                 reply = self.make_heartbeat(peer_messages.MAX_MEMBERS)
                 self.reply(route, reply)
-                self.on_peer_revision(message.revision)
+                self.record_revision(message, route)
             case peer_messages.Heartbeat():
                 for member in message.members:
                     self.record_member(member, self.members.record_member)
-                self.on_peer_revision(message.revision)
+                self.record_revision(message, route)
             case peer_messages.Evidence():
                 for observation in message.observations:
                     self.state.directory.record(
                         observation, message.sender.instance
                     )
-                self.on_peer_revision(message.revision)
+                self.record_revision(message, route)
             case peer_messages.ReaderReport():
                 self.handle_report(message)
             case peer_messages.FetchState():
@@ -301,6 +335,17 @@
             case peer_messages.StateCopy():
                 self.apply_state_copy(message)
 
+    def record_revision(self, message, route) -> None:
+        """Record the newest change that the sender of a message knows.
+
+        Senders that know a newer one are the first that the state is
+        requested from, over the connection by which their message arrived.
+        Readers are not, since their reports reach the whole region.
+        """
+        if message.revision > self.state.revision:
+            self.informed.append(InformedPeer(message.revision, route))
+        self.on_peer_revision(message.revision)
+
     def handle_report(self, message: peer_messages.ReaderReport) -> None:
         """Apply the report of a reader of this region."""
         self.readers.record_report()
@@ -312,11 +357,20 @@
     def send_state(self, message: peer_messages.FetchState, route) -> None:
         """Reply with the published state if the requester's is older.
 
-        An instance that cannot route requests itself does not reply.
+        An instance that cannot route requests itself does not reply, nor one
+        that has sent many copies within the last second.
         """
-        if self.state.revision > message.revision and self.state.is_routable():
-            copy = peer_messages.StateCopy(self.own, self.state.snapshot())
-            self.reply(route, copy)
+        now = self.clock()
+        is_newer = self.state.revision > message.revision
+        if not (is_newer and self.state.is_routable()):
+            return
+        if now < self.next_copy_s:
+            return
+        self.next_copy_s = COPY_INTERVAL_S + max(
+            self.next_copy_s, now - MAX_COPY_CREDIT_S
+        )
+        copy = peer_messages.StateCopy(self.own, self.state.snapshot())
+        self.reply(route, copy)
 
     def apply_state_copy(self, message: peer_messages.StateCopy) -> None:
         """Apply the published state of a peer if its revision is newer."""
@@ -332,21 +386,48 @@
         self.state.replace(message.snapshot, source=message.sender.instance)
 
     def fetch_state(self) -> None:
-        """Request the published state from a random instance.
+        """Request the published state from another instance.
 
-        Instances of the region are preferred. Requests are at least
-        ``FETCH_INTERVAL_S`` apart.
+        Requests are at least ``FETCH_INTERVAL_S`` apart, at first
+        ``INITIAL_FETCH_INTERVAL_S``. If no connection is established, the
+        next call tries again.
         """
         now = self.clock()
-        candidates = (
-            self.members.in_region() or self.members.in_other_regions()
-        )
-        if not candidates or now - self.last_fetch_s < FETCH_INTERVAL_S:
+        if now < self.next_fetch_s:
             return
-        self.last_fetch_s = now
-        chosen = self.rng.choice(candidates)
         message = peer_messages.FetchState(self.own, self.state.revision)
-        self.send(chosen.member.address, message)
+        self.next_fetch_s = now + INITIAL_FETCH_INTERVAL_S
+        if self.send_to_informed(message) or self.send_to_any(message):
+            self.next_fetch_s = now + self.fetch_interval_s
+            self.fetch_interval_s = min(
+                2 * self.fetch_interval_s, FETCH_INTERVAL_S
+            )
+
+    def send_to_informed(self, message) -> bool:
+        """Send to the instance that announced a newer change last.
+
+        Each is tried once for an announcement. Returns False if none is left.
+        """
+        while self.informed:
+            peer = self.informed.pop()
+            if peer.revision > message.revision and self.reply(
+                peer.route, message
+            ):
+                return True
+        return False
+
+    def send_to_any(self, message) -> bool:
+        """Send to one random instance, connecting to a few if needed.
+
+        Instances of the region are preferred; seeds are used while no member
+        is known. Returns False if no connection was established.
+        """
+        known = self.members.in_region() or self.members.in_other_regions()
+        addresses = [peer.member.address for peer in known] or self.seeds
+        chosen = self.rng.sample(
+            addresses, min(MAX_FETCH_ATTEMPTS, len(addresses))
+        )
+        return any(self.send(address, message) for address in chosen)
 
     def record_observation(self, observation: evidence.Observation) -> None:
         """Record an observation of this instance and queue it for peers.
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -41,6 +41,9 @@
 # A full read usually takes a tenth of this. If one takes longer, the state is
 # requested from a peer meanwhile.
 SLOW_READ_S = 0.3
+# Interval at which an instance without a state checks whether to request it
+# from peers.
+FIRST_STATE_INTERVAL_S = 0.1
 # Interval at which an instance that follows readers checks whether a change
 # was not reported.
 FOLLOW_INTERVAL_S = 0.2
@@ -125,6 +128,23 @@
 
     async def run(self) -> None:
         """Follow the store, or readers of it, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.fetch_first_state())
+            await self.follow_store()
+
+    async def fetch_first_state(self) -> None:
+        """Request the state from peers until requests can be routed.
+
+        Nothing is requested while the store may still respond.
+        """
+        await asyncio.sleep(SLOW_READ_S)
+        while not self.state.is_routable():
+            if self.needs_peers():
+                self.fetch_from_peers()
+            await asyncio.sleep(FIRST_STATE_INTERVAL_S)
+
+    async def follow_store(self) -> None:
+        """Read and watch the store, or follow readers of it."""
         while True:
             if not self.is_synced:
                 await self.read_all()
@@ -246,11 +266,15 @@
         if revision <= self.state.revision:
             return
         self.peer_revision = max(self.peer_revision, revision)
-        is_read_slow = self.clock() - self.read_since_s >= SLOW_READ_S
-        if self.is_reachable and not is_read_slow:
-            self.outdated.set()
-        else:
+        if self.needs_peers():
             self.fetch_from_peers()
+        else:
+            self.outdated.set()
+
+    def needs_peers(self) -> bool:
+        """Return whether the store is unreachable or slow in a full read."""
+        is_read_slow = self.clock() - self.read_since_s >= SLOW_READ_S
+        return not self.is_reachable or is_read_slow
 
     def record_response(self) -> None:
         """Record a response from the store; log the end of an outage.
