instance: notice a caller that leaves while nothing is read from it

Behind a request that must run alone the reader of a connection waits for the earlier responses. When the caller then closed the connection, its running request was not cancelled: the server worked on, and what it sent was read, until the request timed out.

The close callback of the stream is now set for the whole life of a connection; tornado listens for the close then. Before, only a connection whose last request had been read had it.

test_request_before_a_waiting_one_is_cancelled failed before (['/1'], []: not cancelled). That test and test_running_request_is_cancelled copy the list of cancelled requests: the end of the event loop cancels every task, so the list itself was filled after the check in any case.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -146,14 +146,22 @@
         self.closing = False
 
     async def serve(self) -> None:
-        """Serve requests until either side closes the connection."""
+        """Serve requests until either side closes the connection.
+
+        While nothing is read, for example behind a request that must run
+        alone, only the close callback of the stream shows that the caller has
+        disconnected.
+        """
+        gone = asyncio.Event()
+        self.stream.set_close_callback(gone.set)
         writer = asyncio.create_task(self.write_responses())
         reader = asyncio.create_task(self.read_requests())
-        tasks = {writer, reader}
+        closed = asyncio.create_task(gone.wait())
+        tasks = {writer, reader, closed}
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             if reader.done() and not self.stream.closed():
-                await self.write_remaining_responses(writer)
+                await self.write_remaining_responses(writer, closed)
         finally:
             for task in tasks:
                 task.cancel()
@@ -161,25 +169,21 @@
             self.cancel_pending()
             self.close()
 
-    async def write_remaining_responses(self, writer: asyncio.Task) -> None:
+    async def write_remaining_responses(
+        self, writer: asyncio.Task, closed: asyncio.Task
+    ) -> None:
         """Wait until the writer has written the remaining responses.
 
-        Returns early if the caller disconnects. When nothing is read any more,
-        only the close callback of the stream shows that.
+        Returns early if the caller disconnects.
         """
-        gone = asyncio.Event()
-        self.stream.set_close_callback(gone.set)
-        waiters = {
-            asyncio.create_task(gone.wait()),
-            asyncio.create_task(self.wait_for_responses()),
-        }
+        remaining = asyncio.create_task(self.wait_for_responses())
         try:
             await asyncio.wait(
-                {writer, *waiters}, return_when=asyncio.FIRST_COMPLETED
+                {writer, closed, remaining},
+                return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
-            for waiter in waiters:
-                waiter.cancel()
+            remaining.cancel()
 
     def cancel_pending(self) -> None:
         """Cancel the requests that are still queued for the writer."""
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -225,10 +225,28 @@
                 await asyncio.sleep(0.05)
                 writer.close()
                 await asyncio.sleep(0.1)
-                return application.cancelled
+                # The end of the event loop cancels what still runs.
+                return list(application.cancelled)
 
         assert asyncio.run(run()) == ['/1']
 
+    # Guards against work for callers that have left, while nothing is read
+    # from their connection.
+    def test_request_before_a_waiting_one_is_cancelled(self):
+        async def run():
+            async with ScriptedApplication({'/1': 5}) as application:
+                _, writer = await application.connect()
+                writer.write(
+                    request_bytes('/1') + request_bytes('/2', 'POST', b'y')
+                )
+                await asyncio.sleep(0.05)
+                writer.close()
+                await asyncio.sleep(0.1)
+                # The end of the event loop cancels what still runs.
+                return application.started, list(application.cancelled)
+
+        assert asyncio.run(run()) == (['/1'], ['/1'])
+
     def test_request_with_incomplete_body_is_not_run(self):
         async def run():
             async with ScriptedApplication() as application:
