instance: count the body of a request from its first byte to its end

The bodies of requests have a common limit, but one that had been read waited uncounted while an earlier request of its connection ran: the reader took it off before the request was started, and only the running request counted it again. Callers that send a body behind a slow request could hold any number of them.

One object now holds the count of a body, from its first byte until its request has ended, is refused, or will not be started.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -221,25 +221,46 @@
                 await self.wait_for_responses()
 
     async def read_and_start(self) -> bool:
-        """Read and start one request; return whether another may follow."""
+        """Read and start one request; return whether another may follow.
+
+        Its body counts as held from its first byte until the request has
+        ended or will not be started.
+        """
+        held = request_body.HeldBody(buffered=self.server.buffered_bodies)
+        started = None
+        try:
+            request = await self.read_next(held)
+            if request is None:
+                return False
+            started = self.start(request)
+            started.add_done_callback(lambda task: held.release())
+            return request.head.keep_alive
+        finally:
+            if started is None:
+                held.release()
+
+    async def read_next(
+        self, held: request_body.HeldBody
+    ) -> caller_request.CallerRequest | None:
+        """Return the next request when it may start, None if none may."""
         try:
-            read = await self.read_request()
+            read = await self.read_request(held)
         except READ_ERRORS as fault:
             self.log_incomplete_request(fault)
-            return False
+            return None
         if read.is_error():
+            held.release()
             self.refuse(read.error)
             await self.pending.join()
-            return False
+            return None
         request = read.ok
         if not self.server.application.may_run_concurrently(request.head):
             await self.wait_for_responses()
         if self.closing or (self.server.finishing and self.outstanding):
             # A response announces that the connection closes, so the caller
             # sends this request again.
-            return False
-        self.start(request)
-        return request.head.keep_alive
+            return None
+        return request
 
     def log_incomplete_request(self, fault: Exception) -> None:
         """Log a read error, unless the connection was idle."""
@@ -257,8 +278,8 @@
             self.response_written.clear()
             await self.response_written.wait()
 
-    def start(self, request: caller_request.CallerRequest) -> None:
-        """Start handling a request in a task of its own."""
+    def start(self, request: caller_request.CallerRequest) -> asyncio.Task:
+        """Start handling a request in a task of its own; return the task."""
         head = request.head
         delivery = self.make_delivery(head.request_id)
         task = asyncio.create_task(self.server.run(request, delivery))
@@ -270,6 +291,7 @@
                 head.method, head.request_id, head.keep_alive, task, delivery
             )
         )
+        return task
 
     def make_delivery(self, request_id: str) -> Delivery:
         """Return the delivery of one response on this connection."""
@@ -358,7 +380,7 @@
             or self.server.draining
         )
 
-    async def read_request(self) -> Result:
+    async def read_request(self, held: request_body.HeldBody) -> Result:
         """Return ``Ok`` with the next request or ``Error`` with a refusal.
 
         Raises one of ``READ_ERRORS`` if the caller stops sending or the head
@@ -391,7 +413,7 @@
             await self.stream.write(CONTINUE_RESPONSE)
         reader = request_body.BodyReader(
             stream=self.stream,
-            buffered=self.server.buffered_bodies,
+            held=held,
             limits=limits,
         )
         body = await reader.read(head.framing)
@@ -497,18 +519,15 @@
     ) -> caller_response.CallerResponse:
         """Handle a request and count it as running, then begin its delivery.
 
-        The response counts as held at once, as it may wait for earlier ones;
-        the body of the request does until the request has ended.
+        The response counts as held at once, as it may wait for earlier ones.
         """
         task = asyncio.current_task()
         self.tasks.add(task)
-        self.buffered_bodies.add(len(request.body))
         try:
             response = await self.application.handle(request)
             delivery.begin(response)
             return response
         finally:
-            self.buffered_bodies.remove(len(request.body))
             self.tasks.discard(task)
 
     def finish(self) -> None:
--- a/libs/citronshelf_instance/citronshelf_instance/request_body.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_body.py
@@ -27,21 +27,33 @@
     def __init__(self):
         self.size = 0
 
-    def add(self, count: int) -> None:
-        """Add the bytes of a body whose request runs."""
-        self.size += count
+    def is_within_limit(self) -> bool:
+        """Return whether the bodies are within their common limit."""
+        return self.size <= MAX_BUFFERED_BYTES
 
-    def try_add(self, count: int) -> bool:
-        """Add bytes and return whether the total is within the limit.
 
-        They are added in either case and must be removed later.
-        """
-        self.add(count)
-        return self.size <= MAX_BUFFERED_BYTES
+class HeldBody:
+    """Bytes of one body that count until its request has ended.
+
+    Parameters
+    ----------
+    buffered : BufferedBytes
+        Shared by all connections.
+    """
 
-    def remove(self, count: int) -> None:
-        """Subtract bytes that were added."""
-        self.size -= count
+    def __init__(self, *, buffered: BufferedBytes):
+        self.buffered = buffered
+        self.size = 0
+
+    def add(self, count: int) -> None:
+        """Count bytes of the body."""
+        self.size += count
+        self.buffered.size += count
+
+    def release(self) -> None:
+        """Stop counting the bytes of the body."""
+        self.buffered.size -= self.size
+        self.size = 0
 
 
 class BodyReader:
@@ -50,8 +62,8 @@
     Parameters
     ----------
     stream : IOStream
-    buffered : BufferedBytes
-        Shared by all connections.
+    held : HeldBody
+        Counts the bytes that are read.
     limits : CallerLimits
     """
 
@@ -59,24 +71,20 @@
         self,
         *,
         stream: iostream.IOStream,
-        buffered: BufferedBytes,
+        held: HeldBody,
         limits: configuration.CallerLimits,
     ):
         self.stream = stream
-        self.buffered = buffered
+        self.held = held
         self.limits = limits
         self.parts: list[bytes] = []
-        self.size = 0
 
     async def read(self, framing: headers.Framing) -> Result:
         """Return ``Ok`` with the body or ``Error`` with a refusal."""
-        try:
-            if framing.chunked:
-                refusal = await self.read_chunks()
-            else:
-                refusal = await self.read_exactly(framing.length or 0)
-        finally:
-            self.buffered.remove(self.size)
+        if framing.chunked:
+            refusal = await self.read_chunks()
+        else:
+            refusal = await self.read_exactly(framing.length or 0)
         if refusal is not None:
             return Error(refusal)
         return Ok(b''.join(self.parts))
@@ -85,7 +93,7 @@
         self, count: int
     ) -> request_head.RequestRefusal | None:
         """Read ``count`` bytes; return a refusal if a limit is exceeded."""
-        if self.size + count > self.limits.max_body_bytes:
+        if self.held.size + count > self.limits.max_body_bytes:
             return body_too_large(self.limits)
         remaining_bytes = count
         while remaining_bytes:
@@ -94,9 +102,9 @@
                     min(remaining_bytes, MAX_READ_BYTES), partial=True
                 )
             self.parts.append(part)
-            self.size += len(part)
+            self.held.add(len(part))
             remaining_bytes -= len(part)
-            if not self.buffered.try_add(len(part)):
+            if not self.held.buffered.is_within_limit():
                 return request_head.RequestRefusal(503, 'too many bodies')
         return None
 
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -684,3 +684,43 @@
                 return first, beside, after, held_bytes, application.started
 
         assert asyncio.run(run()) == ('200', '503', '200', 0, ['/1', '/3'])
+
+    # Guards against bodies that wait uncounted while an earlier request of
+    # their connection runs.
+    def test_body_of_a_waiting_request_counts(self):
+        async def run():
+            async with ScriptedApplication({'/1': 0.3}) as application:
+                buffered = application.server.buffered_bodies
+                sizes = []
+                reader, writer = await application.connect()
+                writer.write(
+                    request_bytes('/1') + request_bytes('/2', 'POST', b'y' * 9)
+                )
+                await asyncio.sleep(0.15)
+                sizes.append((list(application.started), buffered.size))
+                for _ in range(2):
+                    await read_response(reader)
+                sizes.append((list(application.started), buffered.size))
+                writer.close()
+                return sizes
+
+        assert asyncio.run(run()) == [(['/1'], 9), (['/1', '/2'], 0)]
+
+    # Guards against bodies that are counted for ever.
+    @pytest.mark.parametrize('first', ['GET', 'POST'])
+    def test_bodies_of_a_caller_that_disconnects_count_no_more(self, first):
+        async def run():
+            async with ScriptedApplication({'/1': 9, '/2': 9}) as application:
+                buffered = application.server.buffered_bodies
+                _, writer = await application.connect()
+                writer.write(
+                    request_bytes('/1', first, b'y' * 5)
+                    + request_bytes('/2', first, b'y' * 5)
+                )
+                await asyncio.sleep(0.15)
+                held_bytes = buffered.size
+                writer.close()
+                await asyncio.sleep(0.1)
+                return held_bytes, buffered.size
+
+        assert asyncio.run(run()) == (10, 0)
