--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -149,14 +149,22 @@
         self.closing = False
 
     async def serve(self) -> None:
-        """Serve requests until either side closes the connection."""
+        """Serve requests until either side closes the connection.
+
+        While nothing is read, for example behind a request that must run
+        alone, only the close callback of the stream shows that the caller has
+        disconnected.
+        """
+        gone = asyncio.Event()
+        self.stream.set_close_callback(gone.set)
         writer = asyncio.create_task(self.write_responses())
         reader = asyncio.create_task(self.read_requests())
-        tasks = {writer, reader}
+        closed = asyncio.create_task(gone.wait())
+        tasks = {writer, reader, closed}
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             if reader.done() and not self.stream.closed():
-                await self.write_remaining_responses(writer)
+                await self.write_remaining_responses(writer, closed)
         finally:
             for task in tasks:
                 task.cancel()
@@ -164,25 +172,21 @@
             self.cancel_pending()
             self.close()
 
-    async def write_remaining_responses(self, writer: asyncio.Task) -> None:
+    async def write_remaining_responses(
+        self, writer: asyncio.Task, closed: asyncio.Task
+    ) -> None:
         """Wait until the writer has written the remaining responses.
 
-        Returns early if the caller disconnects. When nothing is read any more,
-        only the close callback of the stream shows that.
+        Returns early if the caller disconnects.
         """
-        gone = asyncio.Event()
-        self.stream.set_close_callback(gone.set)
-        waiters = {
-            asyncio.create_task(gone.wait()),
-            asyncio.create_task(self.wait_for_responses()),
-        }
+        remaining = asyncio.create_task(self.wait_for_responses())
         try:
             await asyncio.wait(
-                {writer, *waiters}, return_when=asyncio.FIRST_COMPLETED
+                {writer, closed, remaining},
+                return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
-            for waiter in waiters:
-                waiter.cancel()
+            remaining.cancel()
 
     def cancel_pending(self) -> None:
         """Cancel the requests that are still queued for the writer."""
@@ -220,25 +224,46 @@
                 await self.wait_for_responses()
 
     async def read_and_start(self) -> bool:
-        """Read and start one request; return whether another may follow."""
+        """Read and start one request; return whether another may follow.
+
+        Its body counts as held from its first byte until the request has
+        ended or will not be started.
+        """
+        held = request_body.HeldBody(buffered=self.server.buffered_bodies)
+        started = None
         try:
-            read = await self.read_request()
+            request = await self.read_next(held)
+            if request is None:
+                return False
+            started = self.start(request)
+            started.add_done_callback(lambda task: held.release())
+            return request.head.keep_alive
+        finally:
+            if started is None:
+                held.release()
+
+    async def read_next(
+        self, held: request_body.HeldBody
+    ) -> caller_request.CallerRequest | None:
+        """Return the next request when it may start, None if none may."""
+        try:
+            read = await self.read_request(held)
         except READ_ERRORS as fault:
             self.log_incomplete_request(fault)
-            return False
+            return None
         if read.is_error():
+            held.release()
             self.refuse(read.error)
             await self.pending.join()
-            return False
+            return None
         request = read.ok
         if not self.server.application.may_run_concurrently(request.head):
             await self.wait_for_responses()
         if self.closing or (self.server.finishing and self.outstanding):
             # A response announces that the connection closes, so the caller
             # sends this request again.
-            return False
-        self.start(request)
-        return request.head.keep_alive
+            return None
+        return request
 
     def log_incomplete_request(self, fault: Exception) -> None:
         """Log a read error, unless the connection was idle."""
@@ -256,8 +281,8 @@
             self.response_written.clear()
             await self.response_written.wait()
 
-    def start(self, request: caller_request.CallerRequest) -> None:
-        """Start handling a request in a task of its own."""
+    def start(self, request: caller_request.CallerRequest) -> asyncio.Task:
+        """Start handling a request in a task of its own; return the task."""
         head = request.head
         delivery = self.make_delivery(head.request_id)
         task = asyncio.create_task(self.server.run(request, delivery))
@@ -269,6 +294,7 @@
                 head.method, head.request_id, head.keep_alive, task, delivery
             )
         )
+        return task
 
     def make_delivery(self, request_id: str) -> Delivery:
         """Return the delivery of one response on this connection."""
@@ -357,7 +383,7 @@
             or self.server.draining
         )
 
-    async def read_request(self) -> Result:
+    async def read_request(self, held: request_body.HeldBody) -> Result:
         """Return ``Ok`` with the next request or ``Error`` with a refusal.
 
         Raises one of ``READ_ERRORS`` if the caller stops sending or the head
@@ -368,11 +394,14 @@
         self.head_data = b''
         # Other limits may have come into force while the connection was idle.
         published = self.server.application.limits()
-        read = await self.read_within(first, published or DEFAULT_LIMITS)
+        read = await self.read_within(first, held, published or DEFAULT_LIMITS)
         return read if published else read.map_error(withhold_denial)
 
     async def read_within(
-        self, first: bytes, limits: configuration.CallerLimits
+        self,
+        first: bytes,
+        held: request_body.HeldBody,
+        limits: configuration.CallerLimits,
     ) -> Result:
         """Read the rest of a request as ``read_request`` returns it."""
         async with asyncio.timeout(limits.head_timeout_s):
@@ -397,7 +426,7 @@
             await self.stream.write(CONTINUE_RESPONSE)
         reader = request_body.BodyReader(
             stream=self.stream,
-            buffered=self.server.buffered_bodies,
+            held=held,
             limits=limits,
         )
         body = await reader.read(head.framing)
@@ -506,18 +535,15 @@
     ) -> caller_response.CallerResponse:
         """Handle a request and count it as running, then begin its delivery.
 
-        The response counts as held at once, as it may wait for earlier ones;
-        the body of the request does until the request has ended.
+        The response counts as held at once, as it may wait for earlier ones.
         """
         task = asyncio.current_task()
         self.tasks.add(task)
-        self.buffered_bodies.add(len(request.body))
         try:
             response = await self.application.handle(request)
             delivery.begin(response)
             return response
         finally:
-            self.buffered_bodies.remove(len(request.body))
             self.tasks.discard(task)
 
     def finish(self) -> None:
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -229,10 +229,28 @@
                 await asyncio.sleep(0.05)
                 writer.close()
                 await asyncio.sleep(0.1)
-                return application.cancelled
+                # The end of the event loop cancels what still runs.
+                return list(application.cancelled)
 
         assert asyncio.run(run()) == ['/1']
 
+    # Guards against work for callers that have left, while nothing is read
+    # from their connection.
+    def test_request_before_a_waiting_one_is_cancelled(self):
+        async def run():
+            async with ScriptedApplication({'/1': 5}) as application:
+                _, writer = await application.connect()
+                writer.write(
+                    request_bytes('/1') + request_bytes('/2', 'POST', b'y')
+                )
+                await asyncio.sleep(0.05)
+                writer.close()
+                await asyncio.sleep(0.1)
+                # The end of the event loop cancels what still runs.
+                return application.started, list(application.cancelled)
+
+        assert asyncio.run(run()) == (['/1'], ['/1'])
+
     def test_request_with_incomplete_body_is_not_run(self):
         async def run():
             async with ScriptedApplication() as application:
@@ -727,3 +745,43 @@
                 return first, beside, after, held_bytes, application.started
 
         assert asyncio.run(run()) == ('200', '503', '200', 0, ['/1', '/3'])
+
+    # Guards against bodies that wait uncounted while an earlier request of
+    # their connection runs.
+    def test_body_of_a_waiting_request_counts(self):
+        async def run():
+            async with ScriptedApplication({'/1': 0.3}) as application:
+                buffered = application.server.buffered_bodies
+                sizes = []
+                reader, writer = await application.connect()
+                writer.write(
+                    request_bytes('/1') + request_bytes('/2', 'POST', b'y' * 9)
+                )
+                await asyncio.sleep(0.15)
+                sizes.append((list(application.started), buffered.size))
+                for _ in range(2):
+                    await read_response(reader)
+                sizes.append((list(application.started), buffered.size))
+                writer.close()
+                return sizes
+
+        assert asyncio.run(run()) == [(['/1'], 9), (['/1', '/2'], 0)]
+
+    # Guards against bodies that are counted for ever.
+    @pytest.mark.parametrize('first', ['GET', 'POST'])
+    def test_bodies_of_a_caller_that_disconnects_count_no_more(self, first):
+        async def run():
+            async with ScriptedApplication({'/1': 9, '/2': 9}) as application:
+                buffered = application.server.buffered_bodies
+                _, writer = await application.connect()
+                writer.write(
+                    request_bytes('/1', first, b'y' * 5)
+                    + request_bytes('/2', first, b'y' * 5)
+                )
+                await asyncio.sleep(0.15)
+                held_bytes = buffered.size
+                writer.close()
+                await asyncio.sleep(0.1)
+                return held_bytes, buffered.size
+
+        assert asyncio.run(run()) == (10, 0)
