instance: a configuration that cannot be read is known to be missing

Callers got 404, which they do not retry, for routes of a configuration that the instance had seen but could not read, and got it from the instances that follow its reports or fetched its state as well.

The state counted as current, a delta of registrations beside it claimed that nothing else had changed, and a copy for a peer claimed everything up to its revision.

Both types now carry the revision of the unreadable configuration. While it is newer than the one in force, unknown routes get 503 ("outdated configuration") and known ones are served as before. The revision counts as a change, so that followers read it from the store themselves, and copies name it. An instance that got it from a peer makes one full read when it can, as its watch does not return that change again.

--- a/libs/citronshelf_instance/citronshelf_instance/configuration.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration.py
@@ -125,13 +125,16 @@
     ----------
     revision : int
     configuration : Configuration or None
-        None before the first publication, or when it cannot be read.
+        Newest one that could be read; None if there is none.
     registrations : tuple of Registration
     lapsed : tuple of Registration
         Entries that are missing since an outage of the store and may return.
     recovered_ago_s : float or None
         Seconds since the end of that outage, while entries may return; None
         otherwise.
+    unread_configuration : int
+        Revision of a newer configuration that cannot be read; 0 if there is
+        none.
     """
 
     revision: int
@@ -139,6 +142,7 @@
     registrations: tuple[Registration, ...]
     lapsed: tuple[Registration, ...] = ()
     recovered_ago_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
+    unread_configuration: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class Changes(NamedTuple):
@@ -152,11 +156,23 @@
         None if it did not change or cannot be read.
     registrations : mapping of str to Registration or None
         Keyed by server id; None for a removed or unreadable entry.
+    unread_configuration : int
+        Revision of a newer configuration that cannot be read; 0 if there is
+        none.
     """
 
     revision: int
     configuration: Configuration | None
     registrations: Mapping[str, Registration | None]
+    unread_configuration: int = 0
+
+    def changes_configuration(self) -> bool:
+        """Return whether a configuration was published."""
+        return bool(self.configuration or self.unread_configuration)
+
+    def is_empty(self) -> bool:
+        """Return whether nothing was published."""
+        return not (self.registrations or self.changes_configuration())
 
 
 class RegistrationDelta(NamedTuple):
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -42,6 +42,8 @@
     confirmed_s : float or None
         Time at which the store, or a reader of it, last showed that the state
         was the newest; None if it never did.
+    unread_revision : int
+        Revision of the newest configuration that could not be read.
     limits : CallerLimits or None
         Limits in force; None before the first configuration.
     """
@@ -59,6 +61,7 @@
         self.revision = 0
         self.change_revision = 0
         self.unchanged_since = 0
+        self.unread_revision = 0
         self.confirmed_s: float | None = None
         self.configuration: configuration.Configuration | None = None
         self.routes: routing.RouteTable | None = None
@@ -77,6 +80,7 @@
             self.confirmed_s = self.clock()
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration, source)
+        self.record_unread(snapshot.unread_configuration)
         self.directory.replace(snapshot)
         if self.is_routable():
             self.routable.set()
@@ -90,9 +94,10 @@
         self.confirmed_s = self.clock()
         if changes.configuration is not None:
             self.apply_configuration(changes.configuration, STORE_SOURCE)
+        self.record_unread(changes.unread_configuration)
         if changes.registrations:
             self.directory.apply(changes)
-        if changes.configuration or changes.registrations:
+        if not changes.is_empty():
             self.change_revision = changes.revision
             self.unchanged_since = changes.revision
             self.on_change()
@@ -147,6 +152,16 @@
             source=source,
         )
 
+    def record_unread(self, revision: int) -> None:
+        """Record the revision of a configuration that cannot be read."""
+        self.unread_revision = max(self.unread_revision, revision)
+        self.change_revision = max(self.change_revision, revision)
+
+    def lacks_configuration(self) -> bool:
+        """Return whether a newer configuration could not be read."""
+        known = self.configuration.revision if self.configuration else 0
+        return self.unread_revision > known
+
     def age_s(self) -> float | None:
         """Return the seconds since the state was known to be the newest.
 
@@ -164,6 +179,7 @@
             self.directory.listed(),
             self.directory.lapsed(),
             self.directory.recovered_ago_s(),
+            self.unread_revision if self.lacks_configuration() else 0,
         )
 
     async def wait_routable(self, wait_s: float) -> bool:
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -119,6 +119,8 @@
         self.unreachable_since_s: float | None = None
         self.retry_delay_s = INITIAL_RETRY_DELAY_S
         self.read_since_s = float('inf')
+        # Newest configuration that this instance itself has tried to read.
+        self.tried_revision = 0
         self.outdated = asyncio.Event()
         self.peer_revision = 0
         self.calls = 0
@@ -126,7 +128,7 @@
     async def run(self) -> None:
         """Follow the store, or readers of it, until cancelled."""
         while True:
-            if not self.is_synced:
+            if not self.is_synced or self.may_read_configuration():
                 await self.read_all()
             else:
                 if self.is_reachable:
@@ -145,9 +147,20 @@
             return
         self.record_response()
         self.state.replace(read.ok, source=published.STORE_SOURCE)
+        self.tried_revision = self.state.unread_revision
         self.is_synced = True
         self.send_report(None)
 
+    def may_read_configuration(self) -> bool:
+        """Return whether only a peer could not read the newest configuration.
+
+        Watches do not return it if the peer's state holds later changes.
+        """
+        return (
+            self.state.lacks_configuration()
+            and self.state.unread_revision > self.tried_revision
+        )
+
     async def follow_readers(self) -> None:
         """Wait while readers of the region report all changes.
 
@@ -193,7 +206,10 @@
         self.record_response()
         after = min(after, self.state.unchanged_since)
         self.state.apply(changed.ok)
-        if changed.ok.registrations or changed.ok.configuration:
+        self.tried_revision = max(
+            self.tried_revision, changed.ok.unread_configuration
+        )
+        if not changed.ok.is_empty():
             self.send_report(make_delta(after, changed.ok))
             await asyncio.sleep(PAUSE_AFTER_CHANGE_S)
         elif self.is_behind():
@@ -312,10 +328,12 @@
         """Return whether no newer publication is known or likely.
 
         While the store responds neither to this instance nor to a reader that
-        reports to it, there may be one.
+        reports to it, there may be one. A configuration that cannot be read
+        is one.
         """
         is_followed = self.is_current() or self.group.is_covered()
-        return is_followed and not self.is_behind()
+        is_behind = self.is_behind() or self.state.lacks_configuration()
+        return is_followed and not is_behind
 
 
 def make_delta(
@@ -326,7 +344,7 @@
     None if there are too many, or if the configuration changed.
     """
     if (
-        changes.configuration is not None
+        changes.changes_configuration()
         or len(changes.registrations) > MAX_DELTA_REGISTRATIONS
     ):
         return None
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -484,6 +484,23 @@
         assert (state.revision, state.configuration.revision) == (9, 8)
         assert state.directory.servers == {}
 
+    def test_copy_names_a_configuration_that_could_not_be_read(self, clock):
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            newer = configuration.Snapshot(
+                9, make_configuration(revision=5), (), unread_configuration=8
+            )
+            for number in (2, 4, 5):
+                group.instances[number].state.replace(newer, source='test')
+            group.instances[1].fetch_state()
+            await asyncio.sleep(0.02)
+            return group.instances[1].state
+
+        state = asyncio.run(run())
+        assert state.revision == 9
+        assert state.lacks_configuration()
+
     def test_older_state_is_ignored(self, clock):
         async def run():
             group = Fleet(clock)
--- a/libs/citronshelf_instance/tests/test_published.py
+++ b/libs/citronshelf_instance/tests/test_published.py
@@ -96,6 +96,39 @@
         assert state.revision == 2
 
 
+class TestUnread:
+    """A configuration that cannot be read is missing until a newer one."""
+
+    @pytest.mark.parametrize('revision, lacks', [(3, True), (6, False)])
+    def test_copies_name_it(self, revision, lacks):
+        first = configuration.Snapshot(
+            7,
+            make_configuration(revision=revision),
+            (),
+            unread_configuration=5,
+        )
+        original, copied = make_state(), make_state()
+        original.replace(first, source='store')
+        copied.replace(original.snapshot(), source='i1')
+        for state in (original, copied):
+            assert state.lacks_configuration() is lacks
+            assert state.configuration.revision == revision
+        assert copied.unread_revision == (5 if lacks else 0)
+
+    def test_instance_that_read_it_does_not_lack_it(self):
+        state = make_state()
+        state.replace(
+            configuration.Snapshot(5, make_configuration(revision=5), ()),
+            source='store',
+        )
+        copied = configuration.Snapshot(
+            7, make_configuration(revision=3), (), unread_configuration=5
+        )
+        state.replace(copied, source='i1')
+        assert not state.lacks_configuration()
+        assert state.snapshot().unread_configuration == 0
+
+
 class TestRoutable:
     """Requests are routed once both routes and servers are known."""
 
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -439,3 +439,71 @@
             act=lambda reader: reader.handle_peer_revision(revision),
         )
         assert reader.is_up_to_date() is expected
+
+
+UNREAD = configuration.Snapshot(
+    4, make_configuration(revision=1), (), unread_configuration=3
+)
+
+
+class TestUnreadableConfiguration:
+    """A configuration that cannot be read is known to be missing.
+
+    Guards against 404 for its routes: by this instance, by those that follow
+    its reports, and by those that got its state.
+    """
+
+    @pytest.mark.parametrize(
+        'watches, expected',
+        [
+            ([], False),
+            ([Ok(configuration.Changes(5, None, {}))], False),
+            (
+                [
+                    Ok(
+                        configuration.Changes(
+                            5, make_configuration(revision=5), {}
+                        )
+                    )
+                ],
+                True,
+            ),
+        ],
+        ids=['read', 'nothing new', 'replaced'],
+    )
+    def test_state_is_outdated_until_it_is_replaced(
+        self, clock, watches, expected
+    ):
+        store = ScriptedStore([Ok(UNREAD)], watches)
+        reader, _ = read_with(store, clock)
+        assert reader.is_up_to_date() is expected
+
+    def test_change_that_cannot_be_read_makes_it_outdated(self, clock):
+        changes = configuration.Changes(4, None, {}, unread_configuration=4)
+        store = ScriptedStore([snapshot(3)], [Ok(changes)])
+        reader, _ = read_with(store, clock)
+        assert not reader.is_up_to_date()
+        assert reader.state.change_revision == 4
+
+    @pytest.mark.parametrize('entries', [{}, {'s1': None}])
+    def test_followers_must_read_it_themselves(self, clock, entries):
+        changes = configuration.Changes(5, None, entries, 4)
+        store = ScriptedStore([snapshot(3)], [Ok(changes)])
+        reader, _ = read_with(store, clock)
+        # The second report follows the change; none before it is known.
+        assert reader.reports == [None, None]
+        assert reader.state.empty_delta().after == 5
+
+    def test_state_of_a_peer_without_it_causes_one_full_read(self, clock):
+        """The peer may run an older build."""
+        copied = UNREAD._replace(revision=5, unread_configuration=5)
+        store = ScriptedStore([snapshot(3), Ok(copied), snapshot(7)])
+
+        def copy(reader):
+            reader.state.replace(copied, source='i2')
+            reader.handle_peer_revision(6)
+
+        reader, _ = read_with(store, clock, act=copy)
+        assert not reader.is_up_to_date()
+        assert reader.state.lacks_configuration()
+        assert len(store.reads) == 1
