entry: limit the names of headers and methods by the size of the head only

Callers got 400, which they do not retry, for a header name of more than 128 bytes or a method of more than 32, whatever the published limit of the head was.

Cause: the patterns for the syntax of a head bounded both lengths. Nobody published these limits; the size of the head bounds both already, in the instance by its published limit and in citronshelf-entry by 16 KiB.

The patterns now have no bounds of their own. The log of a request has the first 32 characters of its method.

Failed before, with 400 "malformed header line" and "malformed request line": TestLimits.test_head_within_published_limit_is_accepted[long name] and TestLimits.test_method_within_published_limit_is_accepted.

--- a/libs/citronshelf_entry/citronshelf_entry/request_head.py
+++ b/libs/citronshelf_entry/citronshelf_entry/request_head.py
@@ -19,10 +19,10 @@
 MAX_KEY_BYTES = 512
 
 START_LINE = re.compile(
-    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]{1,32}) ([\x21-\x7e]+) HTTP/1\.([01])"
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/1\.([01])"
 )
 HEADER_LINE = re.compile(
-    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]{1,128}:[\t\x20-\x7e\x80-\xff]*"
+    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*"
 )
 ACCOUNT = re.compile(model.ACCOUNT_PATTERN)
 BODILESS_METHODS = frozenset({'GET', 'HEAD'})
--- a/libs/citronshelf_instance/citronshelf_instance/request_handler.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_handler.py
@@ -162,7 +162,7 @@
             LOG,
             events.REQUEST_ENDED,
             request_id=head.request_id,
-            method=head.method,
+            method=head.method[:32],
             host=head.host,
             path=head.path[:200],
             route=route_name,
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -419,8 +419,9 @@
         [
             'A: ' + 'x' * 20_000 + '\r\n',
             ''.join(f'A{number}: 1\r\n' for number in range(150)),
+            'A' * 129 + ': 1\r\n',
         ],
-        ids=['20 KB', '150 headers'],
+        ids=['20 KB', '150 headers', 'long name'],
     )
     def test_head_within_published_limit_is_accepted(self, extra):
         async def run():
@@ -432,6 +433,16 @@
 
         assert asyncio.run(run()) == b'/1'
 
+    # Guards against 400 by a limit on the length of the method.
+    def test_method_within_published_limit_is_accepted(self):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1', 'M' * 33))
+                return (await read_response(reader))[1]
+
+        assert asyncio.run(run()) == b'/1'
+
     @pytest.mark.parametrize('surplus, status', [(0, 200), (1, 431)])
     def test_limit_of_the_head_is_exact(self, surplus, status):
         async def run():
