instance: compare the hosts of absolute targets as routes do

Callers that sent a target in absolute form got 400, which they do not retry, if it spelled the host differently from the Host header: with a port in only one of them, or with a final dot.

Cause: the comparison ignored only the case, whereas the selection of a route ignores port and final dot too. Both spellings select the same route, so nothing is ambiguous. The comparison now uses the same normalisation. Targets that name another host are still refused.

TestHead.test_port_and_final_dot_of_an_absolute_form_are_ignored failed before in all three cases (parse_head returned the refusal 400).

--- a/libs/citronshelf_instance/citronshelf_instance/caller_request.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_request.py
@@ -10,6 +10,7 @@
 
 from citronshelf_entry import headers
 from citronshelf_entry import request_head
+from citronshelf_instance import routing
 
 REQUEST_ID_BYTES = 8
 MAX_DEADLINE_MS = 3_600_000
@@ -150,12 +151,16 @@
 def path_of_target(target: str, host: str) -> str | None:
     """Return path and query of a target in origin form or absolute form.
 
-    Returns None for other forms and for an absolute form of another host.
+    Returns None for other forms and for an absolute form of another host. As
+    in the selection of a route, ports do not distinguish hosts.
     """
     if target.startswith('/'):
         return target
     absolute = ABSOLUTE_FORM.fullmatch(target)
-    if absolute is None or absolute['host'].lower() != host.lower():
+    if absolute is None:
+        return None
+    named_host = routing.normalise_host(absolute['host'])
+    if named_host != routing.normalise_host(host):
         return None
     rest = absolute['rest']
     return rest if rest.startswith('/') else f'/{rest}'
--- a/libs/citronshelf_instance/tests/test_caller_request.py
+++ b/libs/citronshelf_instance/tests/test_caller_request.py
@@ -39,6 +39,22 @@
         head = parse('Host: a.example', start=f'GET {target} HTTP/1.1').ok
         assert (head.target, head.host) == (expected, 'a.example')
 
+    # Guards against 400 for two spellings of one host, which select the same
+    # route.
+    @pytest.mark.parametrize(
+        'target, host',
+        [
+            ('http://a.example:80/a/x', 'a.example'),
+            ('http://a.example/a/x', 'a.example:8080'),
+            ('http://A.example./a/x', 'a.example'),
+        ],
+    )
+    def test_port_and_final_dot_of_an_absolute_form_are_ignored(
+        self, target, host
+    ):
+        head = parse(f'Host: {host}', start=f'GET {target} HTTP/1.1').ok
+        assert (head.target, head.host) == ('/a/x', host)
+
     def test_generates_a_missing_request_id(self):
         assert len(parse('Host: a').ok.request_id) == 16
 
