instance: hold the body of a request in segments

The pieces of a body were kept in a list until it was complete. A caller that sends chunks of a few bytes made each an object of its own, so that bodies within their common limit of 40 MB could cost twenty times as much. They are now collected like the bodies of responses.

--- a/libs/citronshelf_instance/citronshelf_instance/request_body.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_body.py
@@ -8,6 +8,7 @@
 from expression import Result
 from tornado import iostream
 
+from citronshelf_entry import body_buffer
 from citronshelf_entry import headers
 from citronshelf_entry import request_head
 from citronshelf_instance import configuration
@@ -77,7 +78,7 @@
         self.stream = stream
         self.held = held
         self.limits = limits
-        self.parts: list[bytes] = []
+        self.buffer = body_buffer.BodyBuffer()
 
     async def read(self, framing: headers.Framing) -> Result:
         """Return ``Ok`` with the body or ``Error`` with a refusal."""
@@ -87,7 +88,7 @@
             refusal = await self.read_exactly(framing.length or 0)
         if refusal is not None:
             return Error(refusal)
-        return Ok(b''.join(self.parts))
+        return Ok(self.buffer.take())
 
     async def read_exactly(
         self, count: int
@@ -101,7 +102,7 @@
                 part = await self.stream.read_bytes(
                     min(remaining_bytes, MAX_READ_BYTES), partial=True
                 )
-            self.parts.append(part)
+            self.buffer.append(part)
             self.held.add(len(part))
             remaining_bytes -= len(part)
             if not self.held.buffered.is_within_limit():
