instance: limit the trailers of a request like a head

Trailers of a chunked request were read and dropped without a limit, as long as each line came within the idle timeout, so a caller could keep a connection in use for ever. A single trailer of more than 254 bytes ended the connection without a response, though the published limits allow it.

All trailers together may now have as many bytes as a head; more are refused with 431 like a head that is too long. A line of four times that closes the connection, also as in a head.

TestTrailers failed before: test_longer_trailers_are_refused[lines] and [line] (no response instead of 431) and test_trailers_within_the_limit_are_dropped[line] (no response instead of 200).

--- a/libs/citronshelf_instance/citronshelf_instance/request_body.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_body.py
@@ -15,6 +15,10 @@
 
 MAX_READ_BYTES = 64 * 1024
 MAX_CHUNK_LINE_BYTES = 256
+# A trailer over the limit of all is read up to this multiple of it, so that
+# the request is refused with a response; a longer one closes the connection.
+MAX_READ_TRAILER_FACTOR = 4
+CRLF = b'\r\n'
 # A length with more digits exceeds every limit.
 CHUNK_LENGTH = re.compile(rb'[0-9A-Fa-f]{1,16}')
 # Limit on all bodies of requests that are being read or running: a fifth of
@@ -125,17 +129,29 @@
                 return refusal
             if await self.read_line():
                 return request_head.RequestRefusal(400, 'malformed chunk')
-        while await self.read_line():
-            pass
-        return None
-
-    async def read_line(self) -> bytes:
+        return await self.skip_trailers()
+
+    async def skip_trailers(self) -> request_head.RequestRefusal | None:
+        """Read trailers up to the empty line; refuse more than a head has."""
+        limit_bytes = self.limits.max_head_bytes
+        size = 0
+        while size <= limit_bytes:
+            line = await self.read_line(
+                max_bytes=MAX_READ_TRAILER_FACTOR * limit_bytes
+            )
+            if not line:
+                return None
+            size += len(line) + len(CRLF)
+        text = f'trailers over {limit_bytes} bytes'
+        return request_head.RequestRefusal(431, text)
+
+    async def read_line(
+        self, *, max_bytes: int = MAX_CHUNK_LINE_BYTES
+    ) -> bytes:
         """Read one line of the chunked framing, without its CRLF."""
         async with asyncio.timeout(self.limits.idle_timeout_s):
-            line = await self.stream.read_until(
-                b'\r\n', max_bytes=MAX_CHUNK_LINE_BYTES
-            )
-        return line[:-2]
+            line = await self.stream.read_until(CRLF, max_bytes=max_bytes)
+        return line[: -len(CRLF)]
 
 
 def chunk_length(line: bytes) -> int | None:
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -476,6 +476,51 @@
         assert asyncio.run(run()).startswith(f'HTTP/1.1 {status}')
 
 
+class TestTrailers:
+    """Trailers have the limit of a head.
+
+    Guards against trailers without an end.
+    """
+
+    START = request_bytes('/1', 'POST', extra='Transfer-Encoding: chunked\r\n')
+
+    def send(self, trailers):
+        """Return what is received until the close, and the paths run."""
+
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                writer.write(self.START + b'2\r\nok\r\n0\r\n' + trailers)
+                async with asyncio.timeout(2.0):
+                    try:
+                        received = await reader.read()
+                    except ConnectionResetError:
+                        received = b''
+                writer.close()
+                return received[:12], application.started
+
+        return asyncio.run(run())
+
+    @pytest.mark.parametrize(
+        'trailers',
+        [b'A: 1\r\n' * 150, b'A: ' + b'x' * 900 + b'\r\n'],
+        ids=['lines', 'line'],
+    )
+    def test_trailers_within_the_limit_are_dropped(self, trailers):
+        assert self.send(trailers + b'\r\n') == (b'HTTP/1.1 200', ['/1'])
+
+    @pytest.mark.parametrize(
+        'trailers',
+        [b'A: 1\r\n' * 1000, b'A: ' + b'x' * 2000 + b'\r\n'],
+        ids=['lines', 'line'],
+    )
+    def test_longer_trailers_are_refused(self, trailers):
+        assert self.send(trailers) == (b'HTTP/1.1 431', [])
+
+    def test_trailer_without_an_end_closes_the_connection(self):
+        assert self.send(b'x' * 100_000) == (b'', [])
+
+
 class TestChangedLimits:
     """A kept connection follows the limits that are in force."""
 
