instance: do not count a lack of our memory against a server

When all responses together use up their memory, the largest is ended, which may be a sound chunked one of several MB beside responses without an end. That counted as a failed request of its server, so that a sound server got less work.

The execution status stays unknown, and a response over the limit of a single one still counts as a failure.

test_end_is_no_evidence_against_the_server failed before (one FAILED of s0).

--- a/libs/citronshelf_entry/citronshelf_entry/exchange.py
+++ b/libs/citronshelf_entry/citronshelf_entry/exchange.py
@@ -454,15 +454,19 @@
     """Return the failure for a response that cannot be passed on.
 
     The execution status is BROKEN if a head was accepted, otherwise UNKNOWN.
+    It is no failure of the server if this process lacks the memory.
     """
     execution = (
         classify.ExecutionStatus.UNKNOWN
         if head is None
         else classify.ExecutionStatus.BROKEN
     )
-    return classify.Failure(
-        execution, classify.FailureSignal.TRUNCATED, reason
+    signal = (
+        classify.FailureSignal.NONE
+        if reason == MEMORY_FULL
+        else classify.FailureSignal.TRUNCATED
     )
+    return classify.Failure(execution, signal, reason)
 
 
 def parse_load(head: ResponseHead) -> fleet.LoadReport | None:
--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -71,10 +71,13 @@
     reason : str
     status : int
         Status of a response that was rejected; 0 without a response.
+    is_server_failure : bool
+        False if this instance ended the exchange for a reason of its own.
     """
 
     reason: str
     status: int = 0
+    is_server_failure: bool = True
     kind: str = 'lost'
 
 
@@ -200,7 +203,12 @@
         """Return the result of a failed exchange."""
         if failure.execution is classify.ExecutionStatus.NOT_RUN:
             return NotRunResult(reason=failure.reason, refused_by_server=False)
-        return LostResult(reason=failure.reason)
+        return LostResult(
+            reason=failure.reason,
+            is_server_failure=(
+                failure.signal is not classify.FailureSignal.NONE
+            ),
+        )
 
     def classify_response(
         self, head: exchange.ResponseHead, body: bytes
@@ -234,7 +242,7 @@
         """Record what a result shows about the server.
 
         Nothing is recorded if the request was not sent because ``may_send``
-        returned False.
+        returned False, or if this instance ended the exchange itself.
         """
         now = self.forwarder.clock()
         match result:
@@ -247,6 +255,8 @@
                 self.observe(evidence.HealthSignal.SHED, 0.0)
             case NotRunResult(reason=exchange.SEND_WITHDRAWN):
                 pass
+            case LostResult(is_server_failure=False):
+                pass
             case NotRunResult():
                 self.record_unreachable(result.reason, now)
             case ServerErrorResult() | LostResult():
--- a/libs/citronshelf_instance/tests/test_endless_responses.py
+++ b/libs/citronshelf_instance/tests/test_endless_responses.py
@@ -8,6 +8,7 @@
 from citronshelf_common import outcomes
 from citronshelf_entry import exchange
 from citronshelf_entry import response_memory
+from citronshelf_instance import evidence
 import endless_streams
 import test_forwarding
 
@@ -229,6 +230,29 @@
         assert close_s < CLOSE_WITHIN_S
         assert held_bytes == 0
 
+    # Guards against evidence against servers whose responses were ended only
+    # because the responses of others used up the memory.
+    def test_end_is_no_evidence_against_the_server(self):
+        async def run():
+            async with EndlessHarness(
+                self.STREAM, limit_bytes=SMALL_LIMIT_BYTES
+            ) as harness:
+                await harness.run(idempotent=False)
+                return harness.observations
+
+        assert asyncio.run(run()) == []
+
+    # Guards against endless responses that are no evidence: one above the
+    # limit of a single response is.
+    def test_too_large_response_is_evidence(self):
+        async def run():
+            async with EndlessHarness(self.STREAM) as harness:
+                harness.forwarder.max_response_bytes = SMALL_LIMIT_BYTES
+                await harness.run(idempotent=False)
+                return [each.signal for each in harness.observations]
+
+        assert asyncio.run(run()) == [evidence.HealthSignal.FAILED]
+
     def test_cancelled_request_holds_nothing(self):
         async def run():
             stream = self.STREAM
