entry: limit the bytes held for all responses of a process

The older program limited each response, but not their sum: up to 512 exchanges at once, each with as many bytes as its class allows. It now has the limit of citronshelf-instance, 40 MiB: at the limit the response that holds most is ended, and its caller gets "unknown". Bytes count while a response is received; one that is complete counts no more, and stored answers have a limit of their own. An attempt that is cancelled releases a response that it has not read.

TestDaemon failed before (the client has no limit). With a limit but without the releases, test_whole_response_counts_no_more (196,608 bytes left) and test_cancelled_attempt_counts_no_more (327,680 left) failed.

--- a/libs/citronshelf_entry/citronshelf_entry/attempt.py
+++ b/libs/citronshelf_entry/citronshelf_entry/attempt.py
@@ -133,6 +133,7 @@
         The whole body is returned as the last part.
         """
         rest = await self.exchange.read_whole()
+        self.exchange.release_memory()
         if isinstance(rest, classify.Failure):
             return rest
         return exchange.Part(first.data + rest, True)
@@ -184,6 +185,8 @@
         """
         if self.concluded:
             return
+        # A response that was complete but not read is still held.
+        self.exchange.release_memory()
         if self.exchange.cancel() and self.job.work.idempotent:
             self.client.cancel(
                 self.placement.server.address, self.job.work.request_id
--- a/libs/citronshelf_entry/citronshelf_entry/daemon.py
+++ b/libs/citronshelf_entry/citronshelf_entry/daemon.py
@@ -23,6 +23,7 @@
 from citronshelf_entry import keyed
 from citronshelf_entry import keys
 from citronshelf_entry import metrics as entry_metrics
+from citronshelf_entry import response_memory
 from citronshelf_entry import server_checks
 from citronshelf_entry import service
 from citronshelf_entry import shutdown
@@ -33,6 +34,9 @@
 MAX_REPORTED_AGE_S = 1e6
 # Time for sending the last responses to other instances before the exit.
 FLUSH_MS = 500
+# Limit on all responses while they are received: a fifth of the memory of the
+# smallest instance.
+MAX_RESPONSE_MEMORY_BYTES = 40 * 1024 * 1024
 
 
 class EntryDaemon:
@@ -66,7 +70,10 @@
             on_update=self.apply_update,
             pop_counts=self.counter.pop_counts,
         )
-        self.client = upstream.UpstreamClient()
+        self.response_memory = response_memory.ResponseMemory(
+            limit_bytes=MAX_RESPONSE_MEMORY_BYTES
+        )
+        self.client = upstream.UpstreamClient(memory=self.response_memory)
         self.dispatcher = dispatch.Dispatcher(
             state=self.state,
             client=self.client,
@@ -154,6 +161,11 @@
             'Bytes of stored answers',
             lambda: table.stored_bytes,
         )
+        self.metrics.add_gauge(
+            'response_bytes',
+            'Bytes held for responses that are being received',
+            lambda: self.response_memory.total_bytes,
+        )
         self.metrics.add_gauge(
             'requests_in_flight',
             'Requests of callers that are not answered yet',
--- a/libs/citronshelf_entry/tests/test_response_memory.py
+++ b/libs/citronshelf_entry/tests/test_response_memory.py
@@ -1,11 +1,18 @@
 """Tests of the limit on the bytes held for all responses."""
 
+import asyncio
 import sys
+import types
 
 import pytest
+import zmq
 
+from citronshelf_entry import attempt as attempts
 from citronshelf_entry import body_buffer
+from citronshelf_entry import daemon
+from citronshelf_entry import exchange
 from citronshelf_entry import response_memory
+from citronshelf_entry import upstream
 
 LIMIT_BYTES = 1000
 
@@ -104,3 +111,155 @@
         held_bytes = sys.getsizeof(buffer.segments)
         held_bytes += sum(map(sys.getsizeof, buffer.segments))
         assert held_bytes < 1.25 * buffer.size
+
+
+class FakeObserver:
+    """Observer that records nothing."""
+
+    def begin(self, placement):
+        pass
+
+    def on_head(self, attempt, head):
+        pass
+
+    def record_response(self, attempt, head, size):
+        pass
+
+    def record_failure(self, attempt, failure, ending, load):
+        pass
+
+
+class TestAttempts:
+    """What an attempt reads counts until it is passed on or cancelled.
+
+    Guards against responses that are held without a limit over all of them.
+    """
+
+    CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    CHUNK = b'10000\r\n' + b'a' * 65_536 + b'\r\n'
+    WHOLE = CHUNKED + 5 * CHUNK + b'0\r\n\r\n'
+
+    def run(self, raw_server, upstream_request, script, scenario, limit):
+        """Run a scenario with a function that starts attempts."""
+
+        async def run():
+            memory = response_memory.ResponseMemory(limit_bytes=limit)
+            client = upstream.UpstreamClient(memory=memory)
+            async with raw_server(script) as server:
+
+                def start():
+                    return make_attempt(client, server, upstream_request)
+
+                result = await scenario(memory, start)
+            client.close()
+            return result
+
+        return asyncio.run(run())
+
+    def test_whole_response_counts_no_more(
+        self, raw_server, upstream_request, scripts
+    ):
+        async def scenario(memory, start):
+            result = await start().result(read_all=True)
+            return len(result.body), memory.total_bytes
+
+        assert self.run(
+            raw_server,
+            upstream_request,
+            scripts(self.WHOLE),
+            scenario,
+            10_000_000,
+        ) == (5 * 65_536, 0)
+
+    def test_cancelled_attempt_counts_no_more(
+        self, raw_server, upstream_request, scripts
+    ):
+        async def scenario(memory, start):
+            attempt = start()
+            attempt.exchange.collecting = True
+            async with asyncio.timeout(5.0):
+                while not attempt.exchange.ended:
+                    await asyncio.sleep(0.01)
+            held_bytes = memory.total_bytes
+            attempt.cancel()
+            return held_bytes, memory.total_bytes
+
+        assert self.run(
+            raw_server,
+            upstream_request,
+            scripts(self.WHOLE),
+            scenario,
+            10_000_000,
+        ) == (5 * 65_536, 0)
+
+    def test_endless_responses_end_for_memory(
+        self, raw_server, upstream_request
+    ):
+        async def script(_server, _head, writer):
+            writer.write(self.CHUNKED)
+            while not writer.is_closing():
+                writer.write(self.CHUNK)
+                await writer.drain()
+
+        async def scenario(memory, start):
+            results = await asyncio.gather(
+                *(start().result(read_all=True) for _ in range(4))
+            )
+            return {result.reason for result in results}, memory.total_bytes
+
+        assert self.run(
+            raw_server, upstream_request, script, scenario, 500_000
+        ) == ({exchange.MEMORY_FULL}, 0)
+
+
+def make_attempt(client, server, upstream_request):
+    """Return an attempt whose request goes to a server."""
+
+    class DirectAttempt(attempts.Attempt):
+        def upstream_request(self):
+            return upstream_request(server.address)
+
+    return DirectAttempt(
+        job=types.SimpleNamespace(
+            method='GET',
+            work=types.SimpleNamespace(idempotent=False, request_id='r1'),
+        ),
+        placement=types.SimpleNamespace(
+            server=types.SimpleNamespace(server_id='s', address=server.address)
+        ),
+        client=client,
+        observer=FakeObserver(),
+    )
+
+
+class TestDaemon:
+    """The daemon limits the responses of all its exchanges together."""
+
+    def test_client_has_the_limit(self):
+        async def run():
+            public, secret = zmq.curve_keypair()
+            entry = daemon.EntryDaemon(
+                settings={
+                    'instance': {
+                        'name': 'i',
+                        'region': 'r',
+                        'zone': 'z',
+                        'store_region': 'r',
+                        'region_link_megabits': 30,
+                    },
+                    'control': {'local': '127.0.0.1:1'},
+                    'entry': {'forward': '127.0.0.1:2'},
+                    'secrets': {
+                        'key_signing': '00' * 32,
+                        'curve_public': public.decode(),
+                        'curve_secret': secret.decode(),
+                    },
+                }
+            )
+            limit_bytes = entry.client.memory.limit_bytes
+            entry.client.close()
+            entry.authenticator.stop()
+            entry.context.destroy(linger=0)
+            return limit_bytes
+
+        assert asyncio.run(run()) == daemon.MAX_RESPONSE_MEMORY_BYTES
