entry: limit responses to cancellations and health checks to 64 KiB

When a request is cancelled its server gets a DELETE, and its response is not used, but it was collected up to 32 MB for up to a second, 64 of them at once. Servers that send bytes without an end get many cancellations. Health checks had the same limit.

libcurl now ends such a transfer at 64 KiB, also if no length was declared.

The stand-in in test_freshness takes the new argument.

--- a/libs/citronshelf_entry/citronshelf_entry/server_checks.py
+++ b/libs/citronshelf_entry/citronshelf_entry/server_checks.py
@@ -63,6 +63,7 @@
         response = await self.client.fetch_small(
             f'http://{server.address.authority()}/_server/health',
             CHECK_TIMEOUT_S,
+            max_bytes=upstream.MAX_SERVER_STATUS_BYTES,
         )
         state = parse_health_status(response)
         usable = state in USABLE_STATES
--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -29,6 +29,9 @@
 MAX_CANCELS = 64
 # Limit on a fetched resource: room for two dozen of the store's largest items.
 MAX_FETCHED_BYTES = 32 * 1024 * 1024
+# Limit on the response of a server to a cancellation, which is not used, or to
+# a health check.
+MAX_SERVER_STATUS_BYTES = 64 * 1024
 
 CLIENT_FULL = classify.Failure(
     classify.ExecutionStatus.NOT_RUN,
@@ -206,7 +209,9 @@
             request_timeout=CANCEL_TIMEOUT_S,
             follow_redirects=False,
             decompress_response=False,
-            prepare_curl_callback=set_common_options,
+            prepare_curl_callback=functools.partial(
+                set_fetch_options, MAX_SERVER_STATUS_BYTES
+            ),
         )
         self.curl.fetch_impl(wrap_request(request), self.on_cancel_done)
 
@@ -215,11 +220,15 @@
         self.cancels -= 1
 
     async def fetch_small(
-        self, url: str, timeout_s: float
+        self,
+        url: str,
+        timeout_s: float,
+        *,
+        max_bytes: int = MAX_FETCHED_BYTES,
     ) -> httpclient.HTTPResponse:
         """Fetch a small resource; a failure is a response with status 599.
 
-        A body above ``MAX_FETCHED_BYTES`` is a failure.
+        A body above ``max_bytes`` is a failure.
         """
         request = httpclient.HTTPRequest(
             url,
@@ -227,7 +236,9 @@
             request_timeout=timeout_s,
             follow_redirects=False,
             decompress_response=False,
-            prepare_curl_callback=set_common_options,
+            prepare_curl_callback=functools.partial(
+                set_fetch_options, max_bytes
+            ),
         )
         future = asyncio.get_running_loop().create_future()
         self.curl.fetch_impl(
@@ -323,6 +334,12 @@
     curl.setopt(pycurl.USERAGENT, '')
 
 
+def set_fetch_options(max_bytes: int, curl: pycurl.Curl) -> None:
+    """Set the options of a request whose body tornado collects."""
+    set_common_options(curl)
+    curl.setopt(pycurl.MAXFILESIZE, max_bytes)
+
+
 def set_exchange_options(
     upstream_request: UpstreamRequest,
     started: exchange.Exchange,
--- a/libs/citronshelf_entry/tests/test_freshness.py
+++ b/libs/citronshelf_entry/tests/test_freshness.py
@@ -187,7 +187,7 @@
         checked = []
 
         class Client:
-            async def fetch_small(self, url, _timeout_s):
+            async def fetch_small(self, url, _timeout_s, *, max_bytes):
                 checked.append(url)
                 await asyncio.sleep(0)
                 state = 'draining' if ':2/' in url else 'ok'
--- a/libs/citronshelf_entry/tests/test_upstream.py
+++ b/libs/citronshelf_entry/tests/test_upstream.py
@@ -353,6 +353,50 @@
         assert server.heads == []
 
 
+class TestEndlessStatus:
+    """A cancellation or health check ends at a limit on its response.
+
+    Guards against 32 MB for each of them, of which the client starts 64.
+    """
+
+    MAX_SENT_BYTES = 8_000_000
+
+    @pytest.mark.parametrize('length', [b'', b'Content-Length: 2000000\r\n'])
+    @pytest.mark.parametrize('method', ['DELETE', 'GET'])
+    def test_connection_is_closed(self, raw_server, method, length):
+        sent = []
+
+        async def script(_server, _head, writer):
+            writer.write(HEAD + length + b'\r\n')
+            while not writer.is_closing():
+                writer.write(b'a' * 65_536)
+                sent.append(65_536)
+                await writer.drain()
+
+        async def run():
+            client = upstream.UpstreamClient()
+            async with raw_server(script) as server:
+                if method == 'DELETE':
+                    client.cancel(server.address, 'r1')
+                    async with asyncio.timeout(5.0):
+                        while client.cancels:
+                            await asyncio.sleep(0.01)
+                    code = 599
+                else:
+                    url = f'http://{server.address.authority()}/'
+                    response = await client.fetch_small(
+                        url,
+                        upstream.CANCEL_TIMEOUT_S,
+                        max_bytes=upstream.MAX_SERVER_STATUS_BYTES,
+                    )
+                    code = response.code
+            client.close()
+            return code
+
+        assert asyncio.run(run()) == 599
+        assert sum(sent) < self.MAX_SENT_BYTES
+
+
 class TestFetch:
     """Small resources, such as responses of the store."""
 
