instance: answer requests that were read as the shutdown closes idle callers

3 s after SIGTERM, an instance closes the connections of its idle callers. One on which a request had just arrived counted as idle until the task that waits for it continued, two turns of the event loop after the process had read the bytes. The caller saw its connection closed without a response and could not send a request that must not run twice again, since the process had read it.

A connection now counts as idle only while the read of the next request's first byte is pending. That read ends in the same call that takes the bytes from the socket, so no turn of the loop lies in between.

Found by reading the code. test_finishing_server_runs_a_request_that_it_has_ just_read failed before (IncompleteReadError, 0 bytes read).

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -140,6 +140,8 @@
         self.response_written = asyncio.Event()
         self.last_response_s = time.monotonic()
         self.announced_idle_s = 0.0
+        # Read of the first byte of the next request.
+        self.first_byte: asyncio.Future[bytes] | None = None
         self.reading = False
         # Head of the request that is being read, without its first byte.
         self.head_data = b''
@@ -203,8 +205,9 @@
             strict_connection.linger(self.stream)
 
     def is_idle(self) -> bool:
-        """Return whether no request is being read or processed."""
-        return not self.outstanding and not self.reading
+        """Return whether no request has arrived that is not answered."""
+        has_arrived = self.first_byte is not None and self.first_byte.done()
+        return not (self.outstanding or self.reading or has_arrived)
 
     async def read_requests(self) -> None:
         """Read requests up to the last of the connection or a read error.
@@ -259,7 +262,7 @@
         delivery = self.make_delivery(head.request_id)
         task = asyncio.create_task(self.server.run(request, delivery))
         self.outstanding += 1
-        self.reading = False
+        self.end_reading()
         self.head_data = b''
         self.pending.put_nowait(
             PendingRequest(
@@ -286,11 +289,16 @@
             caller_response.from_refusal(refusal, closes_connection=True)
         )
         self.outstanding += 1
-        self.reading = False
+        self.end_reading()
         self.pending.put_nowait(
             PendingRequest('', '', False, response, self.make_delivery(''))
         )
 
+    def end_reading(self) -> None:
+        """Record that the request which was read has been queued."""
+        self.first_byte = None
+        self.reading = False
+
     def find_request_id(self) -> str:
         """Return the id of the request being read, empty if unknown."""
         names = self.server.application.names
@@ -411,7 +419,9 @@
 
         A caller that waits for a response is not idle.
         """
-        reading = asyncio.ensure_future(self.stream.read_bytes(1))
+        reading = self.first_byte = asyncio.ensure_future(
+            self.stream.read_bytes(1)
+        )
         while True:
             remaining_s = self.idle_timeout_s()
             if not self.outstanding:
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -110,6 +110,25 @@
             return head, body
 
 
+def finish_at_next_read(server):
+    """Finish a server once it has read from its only connection.
+
+    That is before the tasks that wait for these bytes continue.
+    """
+    (connection,) = server.connections
+    stream = connection.stream
+    read_from_fd = stream.read_from_fd
+
+    def read_and_finish(buffer):
+        count = read_from_fd(buffer)
+        if count:
+            server.draining = True
+            asyncio.get_running_loop().call_soon(server.finish)
+        return count
+
+    stream.read_from_fd = read_and_finish
+
+
 class TestOrder:
     """Requests run concurrently, and responses keep their order."""
 
@@ -195,6 +214,25 @@
         assert (body, rest, started) == (b'/1', b'', ['/1'])
         assert 'Connection: close' in head
 
+    # Guards against closing a connection whose request the process has read
+    # already: the caller cannot tell that it was not run.
+    def test_finishing_server_runs_a_request_that_it_has_just_read(self):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1'))
+                await read_response(reader)
+                finish_at_next_read(application.server)
+                writer.write(request_bytes('/2'))
+                head, body = await read_response(reader)
+                rest = await reader.read()
+                writer.close()
+                return head, body, rest
+
+        head, body, rest = asyncio.run(run())
+        assert (body, rest) == (b'/2', b'')
+        assert 'Connection: close' in head
+
     def test_finishing_server_completes_a_request_that_has_begun(self):
         async def run():
             async with ScriptedApplication() as application:
