instance: end connections whose callers acknowledge nothing for 30 s

A caller that lost power while it was answered kept its connection, the rest of its response and one of the places for connections until the kernel gave up, about a quarter of an hour later. Nothing was read from it, so the idle timeout did not apply, and the write never completed.

Connections of callers now have TCP_USER_TIMEOUT, as those between instances do. The kernel ends one on which no sent byte is acknowledged, or on which the caller's window stays closed, for 30 s: the time that callers without a deadline wait for a response. A caller that takes some bytes is not affected.

Found by reading the code. test_connection_ends_when_nothing_is_acknowledged failed before (TimeoutError, the connection was open after 10 s; the limit is 1 s in this test).

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import logging
+import socket
 import time
 from typing import NamedTuple
 
@@ -29,6 +31,10 @@
 MAX_PIPELINED_REQUESTS = 8
 MAX_BUFFER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
+# A caller that lost power acknowledges nothing, and without this limit the
+# kernel sends to it for a quarter of an hour. Not below the time that callers
+# without a deadline wait for their responses.
+ACKNOWLEDGE_TIMEOUT_S = 30.0
 # A head over its limit is read up to this multiple of the limit, so that it is
 # refused with a response; a longer one closes the connection without any.
 MAX_READ_HEAD_FACTOR = 4
@@ -441,6 +447,17 @@
         return max(self.announced_idle_s, limits.idle_timeout_s)
 
 
+def limit_unacknowledged(stream: iostream.IOStream) -> None:
+    """End the connection if the caller takes no sent byte for a while."""
+    # Fails if the caller has disconnected, which the first read shows.
+    with contextlib.suppress(OSError):
+        stream.socket.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(ACKNOWLEDGE_TIMEOUT_S * 1000),
+        )
+
+
 class CallerServer(tcpserver.TCPServer):
     """Accepts connections of callers.
 
@@ -491,6 +508,7 @@
             stream.close()
             return
         stream.set_nodelay(True)
+        limit_unacknowledged(stream)
         connection = CallerConnection(stream=stream, server=self)
         self.connections.add(connection)
         try:
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -674,6 +674,34 @@
         assert asyncio.run(run()) == (2, 0)
 
 
+class TestSilentCallers:
+    """Callers that take nothing of their responses are disconnected.
+
+    Guards against connections and responses that are held until the kernel
+    gives up, a quarter of an hour after a caller lost power.
+    """
+
+    def test_connection_ends_when_nothing_is_acknowledged(self, monkeypatch):
+        monkeypatch.setattr(caller_connection, 'ACKNOWLEDGE_TIMEOUT_S', 1.0)
+
+        async def run():
+            async with RepeatingApplication(b'x' * 20_000_000) as application:
+                _, writer = await application.connect()
+                writer.transport.pause_reading()
+                writer.write(request_bytes('/1'))
+                async with asyncio.timeout(2.0):
+                    while not application.memory.total_bytes:
+                        await asyncio.sleep(0.01)
+                async with asyncio.timeout(10.0):
+                    while application.server.connections:
+                        await asyncio.sleep(0.05)
+                held_bytes = application.memory.total_bytes
+                writer.close()
+                return held_bytes
+
+        assert asyncio.run(run()) == 0
+
+
 class TestBodiesOfRunningRequests:
     """Bodies count for their common limit until their requests end.
 
