instance: announce the close before a shutdown leaves a request unanswered

Once the listener is closed, a request behind an unanswered one is not handled, since the response before it announces that the connection closes. That was wrong for a response that was begun before the shutdown and is still being written to a slow caller: it had announced that the connection stays open. The connection closed after it, with the next request read whole and no response, so the caller could not tell that this request was not run.

Such a request is now handled. Its response announces the close, so that one more at most runs on the connection.

Found by reading the code. test_request_behind_a_response_that_keeps_the_ connection failed before (IncompleteReadError, 0 bytes read for the second response).

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -151,7 +151,9 @@
         self.reading = False
         # Head of the request that is being read, without its first byte.
         self.head_data = b''
+        # What the response that is being written announced.
         self.closing = False
+        self.keeping_open = False
 
     async def serve(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -239,7 +241,9 @@
         request = read.ok
         if not self.server.application.may_run_concurrently(request.head):
             await self.wait_for_responses()
-        if self.closing or (self.server.finishing and self.outstanding):
+        if self.closing or (
+            self.server.finishing and self.has_unannounced_response()
+        ):
             # A response announces that the connection closes, so the caller
             # sends this request again.
             return False
@@ -310,6 +314,10 @@
         names = self.server.application.names
         return caller_request.find_request_id(self.head_data, names)
 
+    def has_unannounced_response(self) -> bool:
+        """Return whether a response is due that has not been begun."""
+        return self.outstanding > int(self.keeping_open)
+
     async def write_responses(self) -> None:
         """Write responses in the order of their requests.
 
@@ -330,6 +338,7 @@
         closes_connection = self.closing = self.should_close_after(
             pending, response
         )
+        self.keeping_open = not closes_connection
         limits = self.server.application.limits()
         self.announced_idle_s = limits.idle_timeout_s
         parts = caller_response.render(
@@ -347,6 +356,7 @@
         finally:
             pending.delivery.end()
         self.outstanding -= 1
+        self.keeping_open = False
         self.last_response_s = time.monotonic()
         self.response_written.set()
         self.pending.task_done()
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -674,6 +674,36 @@
         assert asyncio.run(run()) == (2, 0)
 
 
+class TestAnnouncedClose:
+    """A request is left unanswered only behind an announced close."""
+
+    # Guards against closing the connection behind a response that was begun
+    # before the shutdown and announced nothing, with the next request read.
+    def test_request_behind_a_response_that_keeps_the_connection(self):
+        async def run():
+            async with RepeatingApplication(b'x' * 20_000_000) as application:
+                reader, writer = await application.connect()
+                writer.transport.pause_reading()
+                writer.write(request_bytes('/1'))
+                async with asyncio.timeout(2.0):
+                    while not application.memory.total_bytes:
+                        await asyncio.sleep(0.01)
+                application.body = b'y'
+                application.server.draining = True
+                application.server.finish()
+                writer.write(request_bytes('/2') + request_bytes('/3'))
+                await asyncio.sleep(0.1)
+                writer.transport.resume_reading()
+                responses = [await read_response(reader) for _ in range(2)]
+                rest = await reader.read()
+                writer.close()
+                return responses, rest
+
+        responses, rest = asyncio.run(run())
+        closes = ['Connection: close' in head for head, _ in responses]
+        assert (closes, rest) == ([False, True], b'')
+
+
 class TestSilentCallers:
     """Callers that take nothing of their responses are disconnected.
 
