--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import logging
+import socket
 import time
 from typing import NamedTuple
 
@@ -29,6 +31,10 @@
 MAX_PIPELINED_REQUESTS = 8
 MAX_BUFFER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
+# A caller that lost power acknowledges nothing, and without this limit the
+# kernel sends to it for a quarter of an hour. Not below the time that callers
+# without a deadline wait for their responses.
+ACKNOWLEDGE_TIMEOUT_S = 30.0
 # A head over its limit is read up to this multiple of the limit, so that it is
 # refused with a response; a longer one closes the connection without any.
 MAX_READ_HEAD_FACTOR = 4
@@ -140,10 +146,14 @@
         self.response_written = asyncio.Event()
         self.last_response_s = time.monotonic()
         self.announced_idle_s = 0.0
+        # Read of the first byte of the next request.
+        self.first_byte: asyncio.Future[bytes] | None = None
         self.reading = False
         # Head of the request that is being read, without its first byte.
         self.head_data = b''
+        # What the response that is being written announced.
         self.closing = False
+        self.keeping_open = False
 
     async def serve(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -203,8 +213,9 @@
             strict_connection.linger(self.stream)
 
     def is_idle(self) -> bool:
-        """Return whether no request is being read or processed."""
-        return not self.outstanding and not self.reading
+        """Return whether no request has arrived that is not answered."""
+        has_arrived = self.first_byte is not None and self.first_byte.done()
+        return not (self.outstanding or self.reading or has_arrived)
 
     async def read_requests(self) -> None:
         """Read requests up to the last of the connection or a read error.
@@ -230,7 +241,9 @@
         request = read.ok
         if not self.server.application.may_run_concurrently(request.head):
             await self.wait_for_responses()
-        if self.closing or (self.server.finishing and self.outstanding):
+        if self.closing or (
+            self.server.finishing and self.has_unannounced_response()
+        ):
             # A response announces that the connection closes, so the caller
             # sends this request again.
             return False
@@ -259,7 +272,7 @@
         delivery = self.make_delivery(head.request_id)
         task = asyncio.create_task(self.server.run(request, delivery))
         self.outstanding += 1
-        self.reading = False
+        self.end_reading()
         self.head_data = b''
         self.pending.put_nowait(
             PendingRequest(
@@ -286,16 +299,25 @@
             caller_response.from_refusal(refusal, closes_connection=True)
         )
         self.outstanding += 1
-        self.reading = False
+        self.end_reading()
         self.pending.put_nowait(
             PendingRequest('', '', False, response, self.make_delivery(''))
         )
 
+    def end_reading(self) -> None:
+        """Record that the request which was read has been queued."""
+        self.first_byte = None
+        self.reading = False
+
     def find_request_id(self) -> str:
         """Return the id of the request being read, empty if unknown."""
         names = self.server.application.names
         return caller_request.find_request_id(self.head_data, names)
 
+    def has_unannounced_response(self) -> bool:
+        """Return whether a response is due that has not been begun."""
+        return self.outstanding > int(self.keeping_open)
+
     async def write_responses(self) -> None:
         """Write responses in the order of their requests.
 
@@ -316,6 +338,7 @@
         closes_connection = self.closing = self.should_close_after(
             pending, response
         )
+        self.keeping_open = not closes_connection
         limits = self.server.application.limits()
         self.announced_idle_s = limits.idle_timeout_s
         parts = caller_response.render(
@@ -333,6 +356,7 @@
         finally:
             pending.delivery.end()
         self.outstanding -= 1
+        self.keeping_open = False
         self.last_response_s = time.monotonic()
         self.response_written.set()
         self.pending.task_done()
@@ -411,7 +435,9 @@
 
         A caller that waits for a response is not idle.
         """
-        reading = asyncio.ensure_future(self.stream.read_bytes(1))
+        reading = self.first_byte = asyncio.ensure_future(
+            self.stream.read_bytes(1)
+        )
         while True:
             remaining_s = self.idle_timeout_s()
             if not self.outstanding:
@@ -431,6 +457,17 @@
         return max(self.announced_idle_s, limits.idle_timeout_s)
 
 
+def limit_unacknowledged(stream: iostream.IOStream) -> None:
+    """End the connection if the caller takes no sent byte for a while."""
+    # Fails if the caller has disconnected, which the first read shows.
+    with contextlib.suppress(OSError):
+        stream.socket.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(ACKNOWLEDGE_TIMEOUT_S * 1000),
+        )
+
+
 class CallerServer(tcpserver.TCPServer):
     """Accepts connections of callers.
 
@@ -481,6 +518,7 @@
             stream.close()
             return
         stream.set_nodelay(True)
+        limit_unacknowledged(stream)
         connection = CallerConnection(stream=stream, server=self)
         self.connections.add(connection)
         try:
