--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -114,6 +114,25 @@
             return head, body
 
 
+def finish_at_next_read(server):
+    """Finish a server once it has read from its only connection.
+
+    That is before the tasks that wait for these bytes continue.
+    """
+    (connection,) = server.connections
+    stream = connection.stream
+    read_from_fd = stream.read_from_fd
+
+    def read_and_finish(buffer):
+        count = read_from_fd(buffer)
+        if count:
+            server.draining = True
+            asyncio.get_running_loop().call_soon(server.finish)
+        return count
+
+    stream.read_from_fd = read_and_finish
+
+
 class TestOrder:
     """Requests run concurrently, and responses keep their order."""
 
@@ -199,6 +218,25 @@
         assert (body, rest, started) == (b'/1', b'', ['/1'])
         assert 'Connection: close' in head
 
+    # Guards against closing a connection whose request the process has read
+    # already: the caller cannot tell that it was not run.
+    def test_finishing_server_runs_a_request_that_it_has_just_read(self):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1'))
+                await read_response(reader)
+                finish_at_next_read(application.server)
+                writer.write(request_bytes('/2'))
+                head, body = await read_response(reader)
+                rest = await reader.read()
+                writer.close()
+                return head, body, rest
+
+        head, body, rest = asyncio.run(run())
+        assert (body, rest) == (b'/2', b'')
+        assert 'Connection: close' in head
+
     def test_finishing_server_completes_a_request_that_has_begun(self):
         async def run():
             async with ScriptedApplication() as application:
@@ -771,6 +809,64 @@
         assert asyncio.run(run()) == (2, 0)
 
 
+class TestAnnouncedClose:
+    """A request is left unanswered only behind an announced close."""
+
+    # Guards against closing the connection behind a response that was begun
+    # before the shutdown and announced nothing, with the next request read.
+    def test_request_behind_a_response_that_keeps_the_connection(self):
+        async def run():
+            async with RepeatingApplication(b'x' * 20_000_000) as application:
+                reader, writer = await application.connect()
+                writer.transport.pause_reading()
+                writer.write(request_bytes('/1'))
+                async with asyncio.timeout(2.0):
+                    while not application.memory.total_bytes:
+                        await asyncio.sleep(0.01)
+                application.body = b'y'
+                application.server.draining = True
+                application.server.finish()
+                writer.write(request_bytes('/2') + request_bytes('/3'))
+                await asyncio.sleep(0.1)
+                writer.transport.resume_reading()
+                responses = [await read_response(reader) for _ in range(2)]
+                rest = await reader.read()
+                writer.close()
+                return responses, rest
+
+        responses, rest = asyncio.run(run())
+        closes = ['Connection: close' in head for head, _ in responses]
+        assert (closes, rest) == ([False, True], b'')
+
+
+class TestSilentCallers:
+    """Callers that take nothing of their responses are disconnected.
+
+    Guards against connections and responses that are held until the kernel
+    gives up, a quarter of an hour after a caller lost power.
+    """
+
+    def test_connection_ends_when_nothing_is_acknowledged(self, monkeypatch):
+        monkeypatch.setattr(caller_connection, 'ACKNOWLEDGE_TIMEOUT_S', 1.0)
+
+        async def run():
+            async with RepeatingApplication(b'x' * 20_000_000) as application:
+                _, writer = await application.connect()
+                writer.transport.pause_reading()
+                writer.write(request_bytes('/1'))
+                async with asyncio.timeout(2.0):
+                    while not application.memory.total_bytes:
+                        await asyncio.sleep(0.01)
+                async with asyncio.timeout(10.0):
+                    while application.server.connections:
+                        await asyncio.sleep(0.05)
+                held_bytes = application.memory.total_bytes
+                writer.close()
+                return held_bytes
+
+        assert asyncio.run(run()) == 0
+
+
 class TestBodiesOfRunningRequests:
     """Bodies count for their common limit until their requests end.
 
