instance: apply the limit on headers to the header lines only

Callers got 431, which they do not retry, for headers within the published limit if the request line took the head over it.

Cause: the limit, which is published as one on header bytes, was applied to the whole head with the request line and the empty line at its end. No limit on the request line is published.

The size of the header lines with their line ends is now compared. A head is still read up to four times the limit. The reason says "headers over" in place of "head over".

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -29,7 +29,7 @@
 MAX_PIPELINED_REQUESTS = 8
 MAX_BUFFER_BYTES = 256 * 1024
 LISTEN_BACKLOG = 1024
-# A head over its limit is read up to this multiple of the limit, so that it is
+# A head is read up to this multiple of the limit on its headers, so that it is
 # refused with a response; a longer one closes the connection without any.
 MAX_READ_HEAD_FACTOR = 4
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -382,8 +382,8 @@
             )
         arrived_s = time.monotonic()
         self.head_data = rest
-        if len(rest) >= limits.max_head_bytes:
-            text = f'head over {limits.max_head_bytes} bytes'
+        if caller_request.count_header_bytes(rest) > limits.max_head_bytes:
+            text = f'headers over {limits.max_head_bytes} bytes'
             return Error(request_head.RequestRefusal(431, text))
         parsed = caller_request.parse_head(
             first + rest, self.server.application.names
--- a/libs/citronshelf_instance/citronshelf_instance/caller_request.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_request.py
@@ -142,6 +142,14 @@
     )
 
 
+def count_header_bytes(data: bytes) -> int:
+    """Return the size of the header lines in a head, with their line ends.
+
+    The request line and the empty line at the end do not count.
+    """
+    return len(data.partition(b'\r\n')[2].removesuffix(b'\r\n'))
+
+
 def parse_header_line(line: str) -> tuple[str, str]:
     """Return the name and the value, without blanks around the value."""
     name, _, value = line.partition(':')
--- a/libs/citronshelf_instance/citronshelf_instance/configuration.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration.py
@@ -58,7 +58,16 @@
 
 
 class CallerLimits(NamedTuple):
-    """Limits on the size and the time of callers' requests."""
+    """Limits on the size and the time of callers' requests.
+
+    Attributes
+    ----------
+    max_head_bytes : int
+        Limit on the header lines of a request, without the request line.
+    max_body_bytes : int
+    head_timeout_s : float
+    idle_timeout_s : float
+    """
 
     max_head_bytes: int = 16 * 1024
     max_body_bytes: int = 64 * 1024 * 1024
