--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -35,7 +35,7 @@
 # kernel sends to it for a quarter of an hour. Not below the time that callers
 # without a deadline wait for their responses.
 ACKNOWLEDGE_TIMEOUT_S = 30.0
-# A head over its limit is read up to this multiple of the limit, so that it is
+# A head is read up to this multiple of the limit on its headers, so that it is
 # refused with a response; a longer one closes the connection without any.
 MAX_READ_HEAD_FACTOR = 4
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -435,8 +435,8 @@
             )
         arrived_s = time.monotonic()
         self.head_data = rest
-        if len(rest) >= limits.max_head_bytes:
-            text = f'head over {limits.max_head_bytes} bytes'
+        if caller_request.count_header_bytes(rest) > limits.max_head_bytes:
+            text = f'headers over {limits.max_head_bytes} bytes'
             return Error(request_head.RequestRefusal(431, text))
         parsed = caller_request.parse_head(
             first + rest, self.server.application.names
