instance: deny no request by limits that may have been replaced

Callers got 431 and 413, which they do not retry, from an instance that lacked a newer configuration, although its limits may be higher: one that could not read it, knew of a newer one from others, or had no response from the store. For unknown routes such an instance already answered 503.

Cause: only the selection of a route asked whether the configuration is up to date.

A connection now asks the same when a request is over a limit, and then refuses with 503 ("outdated configuration") and Retry-After, as it does without any configuration. Malformed requests still get 400.

TestOutdatedLimits covers headers, body and a malformed request.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -58,6 +58,8 @@
         before earlier ones of its connection have their responses.
     limits : callable
         Returns the ``CallerLimits`` in force; None if none are known.
+    is_up_to_date : callable
+        Returns False if newer limits are known or likely.
     names : HeaderNames
     record_refusal : callable
         Called with each ``RequestRefusal`` of a request that cannot be read,
@@ -70,6 +72,7 @@
     ]
     may_run_concurrently: Callable[[caller_request.RequestHead], bool]
     limits: Callable[[], configuration.CallerLimits | None]
+    is_up_to_date: Callable[[], bool]
     names: caller_request.HeaderNames
     record_refusal: Callable[[request_head.RequestRefusal, str], None]
 
@@ -369,7 +372,18 @@
         # Other limits may have come into force while the connection was idle.
         published = self.server.application.limits()
         read = await self.read_within(first, published or DEFAULT_LIMITS)
-        return read if published else read.map_error(withhold_denial)
+        reason = self.undecided_reason(published)
+        return read.map_error(lambda fault: withhold_denial(fault, reason))
+
+    def undecided_reason(
+        self, published: configuration.CallerLimits | None
+    ) -> str:
+        """Return why other limits may be in force, or an empty string."""
+        if published is None:
+            return 'no configuration'
+        if not self.server.application.is_up_to_date():
+            return 'outdated configuration'
+        return ''
 
     async def read_within(
         self, first: bytes, limits: configuration.CallerLimits
@@ -543,9 +557,9 @@
 
 
 def withhold_denial(
-    refusal: request_head.RequestRefusal,
+    refusal: request_head.RequestRefusal, undecided_reason: str
 ) -> request_head.RequestRefusal:
-    """Return the refusal from an instance that knows no published limits."""
-    if refusal.status in LIMIT_STATUSES:
-        return request_head.RequestRefusal(503, 'no configuration')
+    """Return a refusal that allows a retry if other limits may be in force."""
+    if undecided_reason and refusal.status in LIMIT_STATUSES:
+        return request_head.RequestRefusal(503, undecided_reason)
     return refusal
--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -189,6 +189,7 @@
             handle=self.handler.handle,
             may_run_concurrently=self.handler.may_run_concurrently,
             limits=lambda: self.state.limits,
+            is_up_to_date=self.reader.is_up_to_date,
             names=self.names,
             record_refusal=self.handler.record_unread_request,
         )
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -42,6 +42,7 @@
     def __init__(self, delays=None, limits=SHORT):
         self.delays = delays or {}
         self.limits = limits
+        self.up_to_date = True
         self.started = []
         self.ended = []
         self.order = []
@@ -68,6 +69,7 @@
             handle=self.handle,
             may_run_concurrently=lambda head: head.method == 'GET',
             limits=lambda: self.limits,
+            is_up_to_date=lambda: self.up_to_date,
             names=caller_request.HeaderNames(),
             record_refusal=lambda refusal, request_id: self.refusals.append(
                 (refusal.status, request_id)
@@ -533,6 +535,29 @@
         assert body == b'/2'
 
 
+class TestOutdatedLimits:
+    """No request is denied by limits that may have been replaced."""
+
+    @pytest.mark.parametrize(
+        'extra, status',
+        [
+            ('A: ' + 'x' * 1100 + '\r\n', 503),
+            ('Content-Length: 1001\r\n', 503),
+            ('A b: 1\r\n', 400),
+        ],
+        ids=['headers', 'body', 'malformed'],
+    )
+    def test_only_a_malformed_request_is_denied(self, extra, status):
+        async def run():
+            async with ScriptedApplication() as application:
+                application.up_to_date = False
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1', 'POST', extra=extra))
+                return (await read_response(reader))[0]
+
+        assert asyncio.run(run()).startswith(f'HTTP/1.1 {status}')
+
+
 class TestChangedLimits:
     """A kept connection follows the limits that are in force."""
 
