upstream: send the target of a request unchanged

Servers got another spelling of some paths than callers had sent: percent- encodings in lower case arrived in upper case ("%2f" as "%2F"), and everything from a "#" on was dropped.

libcurl now gets the target of its own (CURLOPT_REQUEST_TARGET) and sends it verbatim. Tornado resets handles after each transfer, so other requests on the same handle are not affected.

--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -339,6 +339,8 @@
     curl.setopt(pycurl.FORBID_REUSE, 1 if upstream_request.close_after else 0)
     if is_get_with_body(upstream_request):
         curl.setopt(pycurl.CUSTOMREQUEST, upstream_request.method)
+    # libcurl would change percent-encodings of the URL's path.
+    curl.setopt(pycurl.REQUEST_TARGET, upstream_request.target)
     curl.setopt(pycurl.PREREQFUNCTION, started.on_ready_to_send)
     curl.setopt(pycurl.VERBOSE, 1)
     curl.setopt(pycurl.DEBUGFUNCTION, started.on_debug)
