upstream: limit the framing of fetched resources

Trial with all shapes of streams as answers of the store: of 30, five lasted to the timeout of the call (chunks of one and of eight bytes, chunk extensions, spaces after a chunk size), which is half a minute for a watch. Nothing else is read from the store in that time, and the event loop is kept busy.

The limit on the framing of a server's response now ends a fetch as well. Both count the bytes after the head that libcurl reports; for a fetch the size of the body comes from libcurl itself, outside of its callbacks.

TestEndlessResponse.test_fails_before_its_timeout failed before for [tiny chunks], [small chunks], [chunk extension], [chunk extensions] and [spaces after a chunk size]. The streams have 13 more shapes, which passed before: zero and random bytes, folded header lines, lines without a colon, 100 Continue, 101, a length far beyond the limit, one huge chunk, chunks of 100 bytes and others.

--- a/libs/citronshelf_entry/citronshelf_entry/exchange.py
+++ b/libs/citronshelf_entry/citronshelf_entry/exchange.py
@@ -168,12 +168,9 @@
         is aborted after its callbacks have returned.
         """
         self.raw_bytes += raw_bytes
-        framing_bytes = self.raw_bytes - self.received_bytes
-        allowed_bytes = (
-            MAX_FRAMING_BYTES
-            + self.received_bytes // BODY_BYTES_PER_FRAMING_BYTE
-        )
-        if framing_bytes > allowed_bytes and not self.refusal:
+        if not self.refusal and is_framing_oversized(
+            self.raw_bytes, self.received_bytes
+        ):
             self.refuse('oversized-framing')
             asyncio.get_running_loop().call_soon(self.cancel)
 
@@ -442,6 +439,14 @@
             return
 
 
+def is_framing_oversized(raw_bytes: int, body_bytes: int) -> bool:
+    """Return whether too few of the bytes after a head are of the body."""
+    allowed_bytes = (
+        MAX_FRAMING_BYTES + body_bytes // BODY_BYTES_PER_FRAMING_BYTE
+    )
+    return raw_bytes - body_bytes > allowed_bytes
+
+
 def parse_header_line(line: str) -> tuple[str, str]:
     """Split a header line; the value is empty if there is no colon."""
     name, _, value = line.partition(':')
--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -140,6 +140,54 @@
         self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, 'cancelled')
 
 
+class FetchedFraming:
+    """Aborts a fetch whose response has too much framing.
+
+    Parameters
+    ----------
+    curl : Curl
+    future : Future
+        Done when the fetch has ended.
+    abort : callable
+        Called with the handle.
+    """
+
+    def __init__(
+        self,
+        *,
+        curl: pycurl.Curl,
+        future: asyncio.Future,
+        abort: Callable[[pycurl.Curl], None],
+    ):
+        self.curl = curl
+        self.future = future
+        self.abort = abort
+        self.raw_bytes = 0
+        self.check_scheduled = False
+
+    def on_debug(self, kind: int, text: bytes) -> None:
+        """Count bytes after the head; libcurl's ``DEBUGFUNCTION``.
+
+        Within a callback libcurl neither returns the size of the body nor
+        allows an abort.
+        """
+        if kind != pycurl.INFOTYPE_DATA_IN:
+            return
+        self.raw_bytes += len(text)
+        if not self.check_scheduled:
+            self.check_scheduled = True
+            asyncio.get_running_loop().call_soon(self.check)
+
+    def check(self) -> None:
+        """Abort the fetch if too few of its bytes are of the body."""
+        self.check_scheduled = False
+        if self.future.done():
+            return
+        body_bytes = int(self.curl.getinfo(pycurl.SIZE_DOWNLOAD))
+        if exchange.is_framing_oversized(self.raw_bytes, body_bytes):
+            self.abort(self.curl)
+
+
 class UpstreamClient:
     """Sends requests to backend servers, cancels them, fetches resources.
 
@@ -210,7 +258,7 @@
             follow_redirects=False,
             decompress_response=False,
             prepare_curl_callback=functools.partial(
-                set_fetch_options, MAX_SERVER_STATUS_BYTES
+                set_status_options, MAX_SERVER_STATUS_BYTES
             ),
         )
         self.curl.fetch_impl(wrap_request(request), self.on_cancel_done)
@@ -228,8 +276,10 @@
     ) -> httpclient.HTTPResponse:
         """Fetch a small resource; a failure is a response with status 599.
 
-        A body above ``max_bytes`` is a failure.
+        A body above ``max_bytes`` is a failure, and so is one with more
+        framing than a response to a caller may have.
         """
+        future = asyncio.get_running_loop().create_future()
         request = httpclient.HTTPRequest(
             url,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
@@ -237,16 +287,26 @@
             follow_redirects=False,
             decompress_response=False,
             prepare_curl_callback=functools.partial(
-                set_fetch_options, max_bytes
+                self.set_fetch_options, max_bytes, future
             ),
         )
-        future = asyncio.get_running_loop().create_future()
         self.curl.fetch_impl(
             wrap_request(request),
             functools.partial(resolve, future),
         )
         return await future
 
+    def set_fetch_options(
+        self, max_bytes: int, future: asyncio.Future, curl: pycurl.Curl
+    ) -> None:
+        """Set the options of a fetch, whose body tornado collects."""
+        set_status_options(max_bytes, curl)
+        framing = FetchedFraming(
+            curl=curl, future=future, abort=self.curl.abort
+        )
+        curl.setopt(pycurl.VERBOSE, 1)
+        curl.setopt(pycurl.DEBUGFUNCTION, framing.on_debug)
+
     def close(self) -> None:
         """Close all connections."""
         self.curl.close()
@@ -334,8 +394,8 @@
     curl.setopt(pycurl.USERAGENT, '')
 
 
-def set_fetch_options(max_bytes: int, curl: pycurl.Curl) -> None:
-    """Set the options of a request whose body tornado collects."""
+def set_status_options(max_bytes: int, curl: pycurl.Curl) -> None:
+    """Set the options of a request with a limit on the body."""
     set_common_options(curl)
     curl.setopt(pycurl.MAXFILESIZE, max_bytes)
 
--- a/libs/citronshelf_instance/tests/endless_streams.py
+++ b/libs/citronshelf_instance/tests/endless_streams.py
@@ -1,6 +1,7 @@
 """Byte streams without an end, as a faulty backend server sends them."""
 
 import asyncio
+import random
 from typing import NamedTuple
 
 BLOCK_BYTES = 16 * 1024
@@ -27,6 +28,7 @@
 SEALED = STATUS + b'SEAL\r\n'
 CHUNKED = SEALED + b'Transfer-Encoding: chunked\r\n\r\n'
 LARGE_CHUNK = b'4000\r\n' + b'a' * BLOCK_BYTES + b'\r\n'
+RANDOM_BYTES = random.Random(1).randbytes(BLOCK_BYTES)
 
 # No valid response can come of these, which shows before the deadline.
 INVALID = {
@@ -39,6 +41,29 @@
     ),
     'not HTTP': Stream(b'', bytes(range(256)) * 64),
     'empty lines': Stream(b'', b'\r\n' * 8192),
+    'zero bytes': Stream(b'', bytes(BLOCK_BYTES)),
+    'random bytes': Stream(b'', RANDOM_BYTES),
+    'head of random bytes': Stream(STATUS, RANDOM_BYTES),
+    'folded header line': Stream(SEALED + b'X-Pad: a\r\n', b' a\r\n' * 4000),
+    'lines without a colon': Stream(SEALED, b'aaaaaaaa\r\n' * 1600),
+    'continue responses': Stream(b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 600),
+    'upgrade': Stream(
+        b'HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n'
+        b'Upgrade: a\r\n\r\n',
+        b'a' * BLOCK_BYTES,
+    ),
+    'huge length': Stream(
+        SEALED + b'Content-Length: %d\r\n\r\n' % 10**12, b'a' * BLOCK_BYTES
+    ),
+    'length of 30 digits': Stream(
+        SEALED + b'Content-Length: %d\r\n\r\n' % 10**29, b'a' * BLOCK_BYTES
+    ),
+    'huge chunk': Stream(CHUNKED + b'ffffffffff\r\n', b'a' * BLOCK_BYTES),
+    'zeros of a chunk size': Stream(CHUNKED + b'5', b'0' * BLOCK_BYTES),
+    'random chunks': Stream(CHUNKED, RANDOM_BYTES),
+    'chunks of 100 bytes': Stream(
+        CHUNKED, (b'64\r\n' + b'a' * 100 + b'\r\n') * 150
+    ),
     'large chunks': Stream(CHUNKED, LARGE_CHUNK),
     'tiny chunks': Stream(CHUNKED, b'1\r\na\r\n' * 2700),
     'small chunks': Stream(CHUNKED, b'8\r\naaaaaaaa\r\n' * 1200),
