entry: close a lingering connection that was closed meanwhile

A connection that its caller, or the server, closed while the last response was still being written, or in the turn of the event loop in which the lingering close began, ended that close with an AttributeError: the stream had no socket any more.

The close now returns if the stream is closed after the wait.

test_connection_that_is_closed_at_once failed before ("Task exception was never retrieved").

--- a/libs/citronshelf_entry/citronshelf_entry/strict_connection.py
+++ b/libs/citronshelf_entry/citronshelf_entry/strict_connection.py
@@ -158,6 +158,8 @@
     try:
         async with asyncio.timeout(LINGER_S):
             await wait_written(stream)
+            if stream.closed():
+                return
             stream.socket.shutdown(1)
             left = LINGER_BYTES
             while left > 0:
