instance: tests of rare forms of proper requests

Forms that HTTP/1.1 allows: versions, methods, absolute targets, blanks, empty and repeated headers, options of Connection, chunk extensions and trailers. And signed rejections of seven statuses, which are passed on unchanged.

No fault: all passed at once on the code of the commit before.

--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -411,6 +411,67 @@
             assert body == b'/p' + expected
 
 
+class TestProperForms:
+    """Rare forms of a request are served.
+
+    Guards against 400 for what HTTP/1.1 allows.
+    """
+
+    @pytest.mark.parametrize(
+        'line',
+        [
+            'GET /1 HTTP/1.0',
+            'GET http://A:80/1?q=/ HTTP/1.1',
+            'GET /1?q=/a?b HTTP/1.1',
+            'get /1 HTTP/1.1',
+            'OPTIONS /1 HTTP/1.1',
+            "!#$%&'*+-.^_`|~ /1 HTTP/1.1",
+        ],
+    )
+    @pytest.mark.parametrize(
+        'headers',
+        [
+            ('hOST:a:8080',),
+            ('Host: \ta.\t ', 'X-Empty:', 'X-Tab:\ta\tb\t'),
+            ('Host: a', 'X-Text: \xe9', 'X-Dup: 1', 'x-dup: 2'),
+            ('Host: a', 'Content-Length: 000', 'Expect: 100-Continue'),
+            ('Host: a', 'Connection: keep-alive, X-Hop', 'X-Hop: 1'),
+            ('Host: a', 'Connection: Upgrade', 'Upgrade: h2c', 'TE: trailers'),
+            ('Host: a', 'X-Deadline-Ms: soon', 'X-Request-Id: a b'),
+        ],
+    )
+    def test_is_served(self, line, headers):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                head = '\r\n'.join((line, *headers, '', ''))
+                writer.write(head.encode('latin-1'))
+                return await read_final(reader), application.refusals
+
+        (_, body), refusals = asyncio.run(run())
+        assert (body, refusals) == (b'/1', [])
+
+    @pytest.mark.parametrize(
+        'size_line, end',
+        [
+            (b'3', b'0\r\n\r\n'),
+            (b'0003 ;a="x;y" ; b', b'000;last\r\n\r\n'),
+            (b'3;a', b'0\r\nT: 1\r\nContent-Length: 7\r\n\r\n'),
+        ],
+    )
+    @pytest.mark.parametrize('coding', ['chunked', 'Chunked', '\tCHUNKED '])
+    def test_chunked_body_is_read(self, size_line, end, coding):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                extra = f'Transfer-Encoding:{coding}\r\n'
+                writer.write(request_bytes('/1', 'POST', extra=extra))
+                writer.write(size_line + b'\r\nabc\r\n' + end)
+                return (await read_response(reader))[1]
+
+        assert asyncio.run(run()) == b'/1abc'
+
+
 class TestLimits:
     """The published limits are the only ones on the size of a request."""
 
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -193,6 +193,15 @@
         assert (outcome.status, outcome.body) == (404, b'no')
         assert len(heads) == 1
 
+    @pytest.mark.parametrize(
+        'status', [b'301', b'400', b'401', b'403', b'405', b'413', b'431']
+    )
+    def test_signed_rejection_of_any_status_is_final(self, status):
+        outcome, heads, _ = run_with(ERROR.replace(b'500', status), GOOD)
+        assert (outcome.status, outcome.body) == (int(status), b'no')
+        assert ('X-Signature', 's') in outcome.headers
+        assert len(heads) == 1
+
     # Guards against rejections that no server gave: what answers at the
     # address of a failed server, or a corrupted head, denied proper requests.
     @pytest.mark.parametrize('script', [UNSIGNED_404, UNSIGNED_302, NO_STATUS])
