instance: treat a deadline of zero as expired

Cause: "deadline or default" took zero for a missing deadline.

TestTimeouts.test_expired_request_is_not_sent failed before.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_request.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_request.py
@@ -14,6 +14,7 @@
 
 REQUEST_ID_BYTES = 8
 MAX_DEADLINE_MS = 3_600_000
+DEFAULT_DEADLINE_S = 30.0
 # Ids of heads that were not validated are logged only if they match this.
 REQUEST_ID_PATTERN = re.compile(r'[\x21-\x7e]{1,128}')
 ABSOLUTE_FORM = re.compile(
@@ -85,6 +86,13 @@
         """Return the target without its query."""
         return self.target.partition('?')[0]
 
+    @property
+    def timeout_s(self) -> float:
+        """Return the seconds that the caller waits for the response."""
+        if self.deadline_s is None:
+            return DEFAULT_DEADLINE_S
+        return self.deadline_s
+
 
 class CallerRequest(NamedTuple):
     """A complete request; ``arrived_s`` is the monotonic time of its head."""
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -30,7 +30,6 @@
 # Subtracted from the deadline, so that the response that reports a timeout
 # reaches the caller before the caller gives up.
 RESPONSE_MARGIN_S = 0.01
-DEFAULT_DEADLINE_S = 30.0
 SHUTDOWN_REASON = 'shutdown'
 
 
@@ -165,9 +164,9 @@
         self.request = request
         self.route = routed.route
         self.service = routed.service
-        caller_timeout_s = request.head.deadline_s or DEFAULT_DEADLINE_S
         timeout_s = (
-            min(caller_timeout_s, self.route.timeout_s) - RESPONSE_MARGIN_S
+            min(request.head.timeout_s, self.route.timeout_s)
+            - RESPONSE_MARGIN_S
         )
         self.expires_s = request.arrived_s + timeout_s
         self.tried: set[str] = set()
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -323,6 +323,14 @@
         outcome, _, _ = run_with(HANG, request=request, idempotent=False)
         assert outcome == outcomes.Unknown(reason='timeout')
 
+    # Guards against a deadline of zero that counts as none, so that the server
+    # works for the whole timeout of the route.
+    def test_expired_request_is_not_sent(self):
+        request = make_request(deadline_s=0.0)
+        outcome, heads, _ = run_with(GOOD, request=request)
+        assert isinstance(outcome, outcomes.NotRun)
+        assert heads == []
+
     def test_caller_disconnect_closes_the_server_connection(self):
         async def run():
             async with Harness(HANG) as harness:
