instance: let other tasks run while trailers of a body are read

Cause: only the loop over chunks yielded, although each line of the framing costs the same.

The reader now yields in read_line, after every 32 lines, which is every 16 chunks as before. The bound in the test of chunks is the same; it is derived from the number of lines.

TestShortTrailers.test_other_tasks_get_turns failed before (5002 lines in one turn).

--- a/libs/citronshelf_instance/citronshelf_instance/request_body.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_body.py
@@ -1,7 +1,6 @@
 """Reader of request bodies with a length or in chunks."""
 
 import asyncio
-import itertools
 import re
 
 from expression import Error
@@ -19,8 +18,9 @@
 # A trailer over the limit of all is read up to this multiple of it, so that
 # the request is refused with a response; a longer one closes the connection.
 MAX_READ_TRAILER_FACTOR = 4
-# Chunks that are read before other tasks get a turn. Each costs about 40 us.
-MAX_CHUNKS_PER_TURN = 16
+# Lines of the framing that are read before other tasks get a turn. A chunk has
+# two; each costs about 20 us.
+MAX_LINES_PER_TURN = 32
 CRLF = b'\r\n'
 # A length with more digits exceeds every limit.
 CHUNK_LENGTH = re.compile(rb'[0-9A-Fa-f]{1,16}')
@@ -86,6 +86,7 @@
         self.held = held
         self.limits = limits
         self.buffer = body_buffer.BodyBuffer()
+        self.lines = 0
 
     async def read(self, framing: headers.Framing) -> Result:
         """Return ``Ok`` with the body or ``Error`` with a refusal."""
@@ -119,12 +120,9 @@
     async def read_chunks(self) -> request_head.RequestRefusal | None:
         """Read a chunked body; discard its trailers.
 
-        Returns a refusal if it is malformed or exceeds a limit. Reads of bytes
-        that have arrived do not suspend this task, so it yields by itself.
+        Returns a refusal if it is malformed or exceeds a limit.
         """
-        for number in itertools.count(1):
-            if number % MAX_CHUNKS_PER_TURN == 0:
-                await asyncio.sleep(0)
+        while True:
             length = chunk_length(await self.read_line())
             if length is None:
                 return request_head.RequestRefusal(400, 'malformed chunk')
@@ -154,7 +152,14 @@
     async def read_line(
         self, *, max_bytes: int = MAX_CHUNK_LINE_BYTES
     ) -> bytes:
-        """Read one line of the chunked framing, without its CRLF."""
+        """Read one line of the chunked framing, without its CRLF.
+
+        Reads of bytes that have arrived do not suspend this task, so it
+        yields by itself.
+        """
+        self.lines += 1
+        if self.lines % MAX_LINES_PER_TURN == 0:
+            await asyncio.sleep(0)
         async with asyncio.timeout(self.limits.idle_timeout_s):
             line = await self.stream.read_until(CRLF, max_bytes=max_bytes)
         return line[: -len(CRLF)]
--- a/libs/citronshelf_instance/tests/test_request_body.py
+++ b/libs/citronshelf_instance/tests/test_request_body.py
@@ -81,4 +81,43 @@
             reading.cancel()
             return most_chunks
 
-        assert asyncio.run(run()) <= request_body.MAX_CHUNKS_PER_TURN
+        # A chunk has two lines.
+        assert asyncio.run(run()) <= request_body.MAX_LINES_PER_TURN // 2
+
+
+class TrailerStream:
+    """Stream of an empty chunked body with many short trailers."""
+
+    def __init__(self, *, count):
+        self.lines = iter([b'0', *[b'a'] * count, b''])
+        self.read_lines = 0
+
+    async def read_until(self, delimiter, max_bytes):
+        self.read_lines += 1
+        return next(self.lines) + delimiter
+
+
+class TestShortTrailers:
+    """Trailers are read in turns like chunks."""
+
+    # Guards against a caller that stops the whole process with its trailers.
+    def test_other_tasks_get_turns(self):
+        async def run():
+            stream = TrailerStream(count=5000)
+            reader = request_body.BodyReader(
+                stream=stream,
+                held=request_body.HeldBody(
+                    buffered=request_body.BufferedBytes()
+                ),
+                limits=LIMITS,
+            )
+            reading = asyncio.create_task(reader.read(CHUNKED))
+            most_lines = 0
+            while not reading.done():
+                before = stream.read_lines
+                await asyncio.sleep(0)
+                most_lines = max(most_lines, stream.read_lines - before)
+            assert reading.result().is_ok()
+            return most_lines
+
+        assert asyncio.run(run()) <= request_body.MAX_LINES_PER_TURN
