instance: answer a request that waits for the first state at the shutdown

A request that arrived in the last half second of the grace period of an instance without a configuration lost its connection without a response, although it certainly had not run.

Cause: the end of the shutdown cancels running requests, and only the forwarder turned that cancellation into a response; the wait for the first state comes before it.

That wait now ends in the same way: the caller gets 503.

TestRequestsWithoutState.test_waiting_request_is_answered_at_the_end failed before (an empty status line).

--- a/libs/citronshelf_instance/citronshelf_instance/request_handler.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_handler.py
@@ -1,5 +1,6 @@
 """Handling of callers' requests from routing to the final response."""
 
+import asyncio
 import logging
 import traceback
 
@@ -92,7 +93,7 @@
         The name is empty if no route was found.
         """
         head = request.head
-        if not await self.state.wait_routable(FIRST_READ_WAIT_S):
+        if not await self.wait_routable():
             refusal = request_head.RequestRefusal(503, 'no configuration')
             return self.refuse(request, refusal), ''
         route = self.state.routes.match(head.host, head.path)
@@ -107,6 +108,19 @@
         self.log_request_end(request, response, route.name, reason)
         return response, route.name
 
+    async def wait_routable(self) -> bool:
+        """Wait a short time until requests can be routed.
+
+        Returns False if they cannot, or if the shutdown ends the request.
+        """
+        try:
+            return await self.state.wait_routable(FIRST_READ_WAIT_S)
+        except asyncio.CancelledError:
+            if not self.forwarder.ending:
+                raise
+            asyncio.current_task().uncancel()
+            return False
+
     def refusal_without_route(self) -> request_head.RequestRefusal:
         """Return the refusal of a request that matches no route.
 
--- a/libs/citronshelf_instance/tests/test_request_handler.py
+++ b/libs/citronshelf_instance/tests/test_request_handler.py
@@ -25,6 +25,7 @@
     """Stands in for ``Forwarder`` with a fixed outcome or error."""
 
     names = caller_request.HeaderNames()
+    ending = False
 
     def __init__(self, outcome):
         self.outcome = outcome
--- a/libs/citronshelf_instance/tests/test_shutdown.py
+++ b/libs/citronshelf_instance/tests/test_shutdown.py
@@ -4,11 +4,13 @@
 import contextlib
 import time
 
+from citronshelf_instance import request_handler
 from citronshelf_instance import shutdown
 from test_caller_connection import read_response
 from test_caller_connection import request_bytes
 from test_caller_connection import ScriptedApplication
 from test_caller_connection import SHORT
+import test_request_handler
 
 PATIENT = SHORT._replace(head_timeout_s=10.0, idle_timeout_s=10.0)
 TABLE = {'accept_s': 0.2, 'grace_s': 3.3}
@@ -121,3 +123,33 @@
 
         assert 0.5 <= asyncio.run(run()) < 1.0
         assert ended == [1]
+
+
+class TestRequestsWithoutState:
+    """Requests that wait for the first state end with a response."""
+
+    # Guards against a connection that closes with a request read and not
+    # answered, though it certainly did not run.
+    def test_waiting_request_is_answered_at_the_end(self, monkeypatch):
+        monkeypatch.setattr(request_handler, 'FIRST_READ_WAIT_S', 5.0)
+
+        async def run():
+            handler = test_request_handler.make_handler(snapshot=None)
+            async with ScriptedApplication() as app:
+                app.server.application = app.server.application._replace(
+                    handle=handler.handle
+                )
+                reader, writer = await app.connect()
+                writer.write(request_bytes('/1'))
+                await asyncio.sleep(0.05)
+                handler.forwarder.ending = True
+                await shutdown.shut_down(
+                    app.server,
+                    {'accept_s': 0.1, 'grace_s': 1.2},
+                    app.server.end_requests,
+                )
+                status_line = await reader.readline()
+                writer.close()
+                return status_line
+
+        assert asyncio.run(run()).startswith(b'HTTP/1.1 503 ')
