store reader: keep an announcement that arrives as a watch begins

An instance could miss a newer configuration for up to 28 s although another one had announced it.

Cause: a task of its own cleared the event of announcements, one turn of the event loop after watch() had tested whether the instance was behind. A revision announced in between was forgotten, and the watch waited to its end unless a later message named the revision again. Class: a state tested before a wait and reset after it.

watch() now clears the event before it tests.

TestOutdated.test_peer_that_is_ahead_as_the_watch_begins failed before (the watch did not end within 0.5 s).

--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -206,6 +206,8 @@
         After a change, the reader pauses for ``PAUSE_AFTER_CHANGE_S``.
         """
         self.calls += 1
+        # Before the test of is_behind, so that no announcement is missed.
+        self.outdated.clear()
         # After an outage the store is polled without a wait: it responds at
         # once when it is back, but a call that waits for changes might hang
         # past its recovery. An instance that follows readers, or knows that
@@ -269,7 +271,6 @@
 
         The delay gives the running watch time to return that revision.
         """
-        self.outdated.clear()
         await self.outdated.wait()
         await asyncio.sleep(OUTDATED_DELAY_S * self.rng.uniform(1, 2))
 
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -148,6 +148,39 @@
         read_with(store, clock, lambda r: r.handle_peer_revision(4))
         assert store.watched == [3, 3]
 
+    # Guards against an announcement that arrives while a watch begins and is
+    # forgotten until the watch ends by itself.
+    def test_peer_that_is_ahead_as_the_watch_begins(self, clock):
+        store = ScriptedStore()
+
+        async def run():
+            state = published.PublishedState(
+                directory=registrations.Directory(clock=clock),
+                clock=clock,
+                rng=random.Random(1),
+            )
+            state.replace(snapshot(3).ok, source=published.STORE_SOURCE)
+            reader = store_reader.StoreReader(
+                store=store,
+                state=state,
+                fetch_from_peers=lambda: None,
+                group=FixedGroup(),
+                send_report=lambda delta: None,
+                clock=clock,
+                rng=random.Random(1),
+            )
+            reader.is_synced = True
+            watching = asyncio.create_task(reader.watch())
+            asyncio.get_running_loop().call_soon(
+                reader.handle_peer_revision, 4
+            )
+            done, _ = await asyncio.wait({watching}, timeout=0.5)
+            watching.cancel()
+            return bool(done)
+
+        assert asyncio.run(run())
+        assert store.watched == [3]
+
     def test_peer_with_the_same_revision_is_ignored(self, clock):
         store = ScriptedStore([snapshot(3)])
         read_with(store, clock, lambda r: r.handle_peer_revision(3))
