instance: read the body of a request only until its deadline

The body must arrive within the deadline of its request, or 30 s without one; after that its request could not be sent to a server anyway. The caller gets 408, since the request has not run.

TestSlowBodies.test_body_is_not_read_past_the_deadline_of_its_request failed before (the connection was open after 2 s).

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -467,7 +467,7 @@
             held=held,
             limits=limits,
         )
-        body = await reader.read(head.framing)
+        body = await read_within_deadline(reader, head)
         if body.is_error():
             return body
         return Ok(caller_request.CallerRequest(head, body.ok, arrived_s))
@@ -524,6 +524,22 @@
         )
 
 
+async def read_within_deadline(
+    reader: request_body.BodyReader, head: caller_request.RequestHead
+) -> Result:
+    """Return ``Ok`` with the body or ``Error`` with a refusal.
+
+    After the deadline of the request its body is of no use.
+    """
+    try:
+        async with asyncio.timeout(head.timeout_s) as deadline:
+            return await reader.read(head.framing)
+    except TimeoutError:
+        if not deadline.expired():
+            raise
+    return Error(request_head.RequestRefusal(408, 'body after the deadline'))
+
+
 class CallerServer(tcpserver.TCPServer):
     """Accepts connections of callers.
 
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -816,6 +816,32 @@
         assert asyncio.run(run()) == b'/1'
 
 
+class TestSlowBodies:
+    """The time for a body is limited, however often some of it arrives."""
+
+    # Guards against callers that hold bodies in memory for any time, so that
+    # the common limit refuses the bodies of others with 503.
+    def test_body_is_not_read_past_the_deadline_of_its_request(self):
+        async def run():
+            async with ScriptedApplication() as application:
+                reader, writer = await application.connect()
+                head = (
+                    'POST /1 HTTP/1.1\r\nHost: a\r\n'
+                    'X-Deadline-Ms: 300\r\nContent-Length: 900\r\n\r\n'
+                )
+                writer.write(head.encode())
+                ended = asyncio.create_task(reader.read())
+                for _ in range(20):
+                    writer.write(b'x')
+                    await asyncio.wait({ended}, timeout=0.1)
+                    if ended.done():
+                        return True
+                writer.close()
+                return False
+
+        assert asyncio.run(run())
+
+
 class RepeatingApplication(ScriptedApplication):
     """Application that keeps request bodies and returns one fixed body."""
 
