instance: do not count a lack of own handles against servers

Cause: record_result took every dispatch that was not sent, and that no server refused, for a failed connection.

A lack of handles is now no evidence.

TestOwnShortage.test_servers_are_not_avoided failed before (a backoff of each server).

--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -241,8 +241,9 @@
     def record_result(self, result: Result) -> None:
         """Record what a result shows about the server.
 
-        Nothing is recorded if the request was not sent because ``may_send``
-        returned False, or if this instance ended the exchange itself.
+        Nothing is recorded if this instance did not send the request, because
+        ``may_send`` returned False or it has too many exchanges, or if it
+        ended the exchange itself.
         """
         now = self.forwarder.clock()
         match result:
@@ -253,7 +254,9 @@
                 self.server.record_unreachable(now)
             case NotRunResult(refused_by_server=True):
                 self.observe(evidence.HealthSignal.SHED, 0.0)
-            case NotRunResult(reason=exchange.SEND_WITHDRAWN):
+            case NotRunResult(
+                reason=exchange.SEND_WITHDRAWN | upstream.CLIENT_FULL.reason
+            ):
                 pass
             case LostResult(is_server_failure=False):
                 pass
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -299,6 +299,23 @@
         assert asyncio.run(run()).status == 200
 
 
+class TestOwnShortage:
+    """A lack of free handles of this process says nothing about servers."""
+
+    # Guards against an overloaded instance that avoids its sound servers.
+    def test_servers_are_not_avoided(self):
+        async def run():
+            async with Harness(GOOD, GOOD, GOOD) as harness:
+                harness.client.curl.idle_handles = lambda: 0
+                outcome = await harness.run()
+                servers = harness.directory.servers.values()
+                return outcome, [each.backoff_until_s for each in servers]
+
+        outcome, backoffs = asyncio.run(run())
+        assert isinstance(outcome, outcomes.NotRun)
+        assert backoffs == [0.0, 0.0, 0.0]
+
+
 class TestTimeouts:
     """Overdue responses, deadlines and callers that disconnect."""
 
