instance: get the last readable configuration from others at a restart

An instance that started while the newest configuration could not be read had no configuration at all and answered 503 until the next one, so that a rolling restart would have taken the whole fleet out of use.

Cause: only the predecessor that other instances still hold can be read, but the store responded, so nothing was requested from them, and a copy of the same revision would have been ignored.

Such an instance now requests the state until it can route requests, as in an outage, and applies the configuration of a copy of any revision. One that is in force is never replaced by an older one, as before.

TestRestartBesideUnreadableConfiguration (real processes) failed before: [200, 503].

--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -373,8 +373,12 @@
         self.reply(route, copy)
 
     def apply_state_copy(self, message: peer_messages.StateCopy) -> None:
-        """Apply the published state of a peer if its revision is newer."""
-        if message.snapshot.revision <= self.state.revision:
+        """Apply the published state of a peer if it is newer.
+
+        An instance that cannot route requests applies an older one as well.
+        """
+        is_newer = message.snapshot.revision > self.state.revision
+        if not is_newer and self.state.is_routable():
             return
         log_events.log_event(
             LOG,
@@ -395,7 +399,8 @@
         now = self.clock()
         if now < self.next_fetch_s:
             return
-        message = peer_messages.FetchState(self.own, self.state.revision)
+        known_revision = self.state.revision if self.state.is_routable() else 0
+        message = peer_messages.FetchState(self.own, known_revision)
         self.next_fetch_s = now + INITIAL_FETCH_INTERVAL_S
         if self.send_to_informed(message) or self.send_to_any(message):
             self.next_fetch_s = now + self.fetch_interval_s
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -72,8 +72,14 @@
     def replace(
         self, snapshot: configuration.Snapshot, *, source: str
     ) -> None:
-        """Replace the state with a snapshot unless the snapshot is older."""
+        """Replace the state with a snapshot unless the snapshot is older.
+
+        The configuration of an older one is applied while there is none.
+        """
         if snapshot.revision < self.revision:
+            if self.configuration is None and snapshot.configuration:
+                self.apply_configuration(snapshot.configuration, source)
+                self.finish_change()
             return
         self.revision = self.unchanged_since = snapshot.revision
         if source == STORE_SOURCE:
@@ -82,6 +88,10 @@
             self.apply_configuration(snapshot.configuration, source)
         self.record_unread(snapshot.unread_configuration)
         self.directory.replace(snapshot)
+        self.finish_change()
+
+    def finish_change(self) -> None:
+        """Record whether requests can be routed; announce the change."""
         if self.is_routable():
             self.routable.set()
         self.on_change()
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -137,11 +137,13 @@
     async def fetch_first_state(self) -> None:
         """Request the state from peers until requests can be routed.
 
-        Nothing is requested while the store may still respond.
+        Nothing is requested while the store may still respond, or if it has
+        no configuration. One that this instance cannot read may have a
+        readable predecessor, which only peers still have.
         """
         await asyncio.sleep(SLOW_READ_S)
         while not self.state.is_routable():
-            if self.needs_peers():
+            if self.needs_peers() or self.state.lacks_configuration():
                 self.fetch_from_peers()
             await asyncio.sleep(FIRST_STATE_INTERVAL_S)
 
