entry: count responses without a length that are ended for memory as failures

With many callers nearly all responses without an end are ended so, before the limit of a single one, and their server got several times the requests.

Now only a response with a declared length is no evidence; one without may have no end. A sound chunked response of several MB that is ended beside endless ones counts as a failure of its server again.

test_end_is_no_evidence_against_the_server used an endless stream, for which the opposite is due. It is replaced by test_end_of_a_declared_length_is_no_evidence and test_end_of_an_undeclared_length_is_evidence, which compare reason and evidence exactly; the second failed before ([] instead of [FAILED]).

--- a/libs/citronshelf_entry/citronshelf_entry/exchange.py
+++ b/libs/citronshelf_entry/citronshelf_entry/exchange.py
@@ -459,8 +459,14 @@
     """Return the failure for a response that cannot be passed on.
 
     The execution status is BROKEN if a head was accepted, otherwise UNKNOWN.
-    It is no failure of the server if this process lacks the memory.
+    A response with a declared length is no failure of the server if this
+    process lacks the memory for it; one without may have no end.
     """
+    is_own_shortage = (
+        reason == MEMORY_FULL
+        and head is not None
+        and head.framing.length is not None
+    )
     execution = (
         classify.ExecutionStatus.UNKNOWN
         if head is None
@@ -468,7 +474,7 @@
     )
     signal = (
         classify.FailureSignal.NONE
-        if reason == MEMORY_FULL
+        if is_own_shortage
         else classify.FailureSignal.TRUNCATED
     )
     return classify.Failure(execution, signal, reason)
--- a/libs/citronshelf_instance/tests/endless_streams.py
+++ b/libs/citronshelf_instance/tests/endless_streams.py
@@ -30,6 +30,11 @@
 LARGE_CHUNK = b'4000\r\n' + b'a' * BLOCK_BYTES + b'\r\n'
 RANDOM_BYTES = random.Random(1).randbytes(BLOCK_BYTES)
 
+# Has an end, but not within the limits of the tests.
+DECLARED_LENGTH = Stream(
+    SEALED + b'Content-Length: %d\r\n\r\n' % 10**7, b'a' * BLOCK_BYTES
+)
+
 # No valid response can come of these, which shows before the deadline.
 INVALID = {
     'status line': Stream(b'HTTP/1.1 200 ', b'a' * BLOCK_BYTES),
--- a/libs/citronshelf_instance/tests/test_endless_responses.py
+++ b/libs/citronshelf_instance/tests/test_endless_responses.py
@@ -230,17 +230,34 @@
         assert close_s < CLOSE_WITHIN_S
         assert held_bytes == 0
 
-    # Guards against evidence against servers whose responses were ended only
-    # because the responses of others used up the memory.
-    def test_end_is_no_evidence_against_the_server(self):
+    def observe(self, stream):
+        """Return the evidence of a response that is ended for memory."""
+
         async def run():
             async with EndlessHarness(
-                self.STREAM, limit_bytes=SMALL_LIMIT_BYTES
+                stream, limit_bytes=SMALL_LIMIT_BYTES
             ) as harness:
-                await harness.run(idempotent=False)
-                return harness.observations
+                outcome = await harness.run(idempotent=False)
+                signals = [each.signal for each in harness.observations]
+                return outcome.reason, signals
+
+        return asyncio.run(run())
+
+    # Guards against evidence against servers whose responses were ended only
+    # because the responses of others used up the memory.
+    def test_end_of_a_declared_length_is_no_evidence(self):
+        assert self.observe(endless_streams.DECLARED_LENGTH) == (
+            exchange.MEMORY_FULL,
+            [],
+        )
 
-        assert asyncio.run(run()) == []
+    # Guards against endless responses that are no evidence, so that their
+    # server gets several times the requests.
+    def test_end_of_an_undeclared_length_is_evidence(self):
+        assert self.observe(self.STREAM) == (
+            exchange.MEMORY_FULL,
+            [evidence.HealthSignal.FAILED],
+        )
 
     # Guards against endless responses that are no evidence: one above the
     # limit of a single response is.
