--- a/libs/citronshelf_entry/tests/test_upstream.py
+++ b/libs/citronshelf_entry/tests/test_upstream.py
@@ -353,6 +353,50 @@
         assert server.heads == []
 
 
+class TestBytesAfterResponse:
+    """Bytes after a complete response do not reach the next request.
+
+    Guards against a stream that is taken for the response to a request which
+    reuses the connection.
+    """
+
+    @pytest.mark.parametrize('pause_s', [0.0, 0.02])
+    @pytest.mark.parametrize('junk', [OK.replace(b'ok', b'no'), b'a' * 999])
+    def test_next_request_gets_its_own_response(
+        self, raw_server, upstream_request, pause_s, junk
+    ):
+        async def script(server, _head, writer):
+            writer.write(OK)
+            if server.connections == 1:
+                await asyncio.sleep(pause_s)
+                while not writer.is_closing():
+                    writer.write(junk)
+                    await writer.drain()
+                    await asyncio.sleep(0)
+
+        async def run():
+            client = upstream.UpstreamClient()
+            async with raw_server(script) as server:
+                request = upstream_request(server.address)
+                results = []
+                for _ in range(3):
+                    results.append(await fetch(client, request))
+                    await asyncio.sleep(0.05)
+            client.close()
+            return results, server.connections
+
+        results, connections = asyncio.run(run())
+        failures = [
+            result
+            for result in results
+            if isinstance(result, classify.Failure)
+        ]
+        bodies = [result[1] for result in results if result not in failures]
+        assert len(bodies) >= 2
+        assert set(bodies) == {b'ok'}
+        assert connections == 2
+
+
 class TestEndlessStatus:
     """A cancellation or health check ends at a limit on its response.
 
--- a/libs/citronshelf_instance/tests/endless_streams.py
+++ b/libs/citronshelf_instance/tests/endless_streams.py
@@ -90,6 +90,20 @@
         STATUS + b'Content-Length: 2\r\n\r\nno',
     ),
 }
+# Complete responses without a body.
+BODILESS = {
+    'no content': Stream(
+        b'HTTP/1.1 204 None\r\nSEAL\r\n\r\n', b'a' * BLOCK_BYTES
+    ),
+    'no content in chunks': Stream(
+        b'HTTP/1.1 204 None\r\nSEAL\r\nTransfer-Encoding: chunked\r\n\r\n',
+        LARGE_CHUNK,
+    ),
+    'not modified': Stream(
+        b'HTTP/1.1 304 None\r\nSEAL\r\nContent-Length: 9\r\n\r\n',
+        b'a' * BLOCK_BYTES,
+    ),
+}
 
 
 async def send(writer, stream, seal, pause_s=0.0):
--- a/libs/citronshelf_instance/tests/test_endless_responses.py
+++ b/libs/citronshelf_instance/tests/test_endless_responses.py
@@ -171,6 +171,23 @@
         assert used == [0]
 
 
+class TestBodilessResponses:
+    """A response that has no body by definition is complete with its head.
+
+    Guards against bytes of a stream as the body of such a response.
+    """
+
+    @pytest.mark.parametrize('name', list(endless_streams.BODILESS))
+    def test_response_has_no_body_and_connection_is_closed(self, name):
+        stream = endless_streams.BODILESS[name]
+        outcome, known_s, close_s, used = forward(stream, idempotent=False)
+        assert str(outcome.status).encode() in stream.start
+        assert outcome.body == b''
+        assert known_s < KNOWN_WITHIN_S
+        assert close_s < CLOSE_WITHIN_S
+        assert used == [0]
+
+
 class TestSlowStreams:
     """Streams so slow that they are still going on when the request ends."""
 
@@ -188,6 +205,30 @@
         assert isinstance(outcome, outcomes.Unknown)
         assert close_s < CLOSE_WITHIN_S
 
+    # Guards against bytes that stay counted, or a result before the deadline
+    # for a response that may still become valid.
+    @pytest.mark.parametrize(
+        'name', ['status line', 'until close', 'huge chunk', 'trailer line']
+    )
+    def test_single_bytes_last_to_the_deadline_and_hold_little(self, name):
+        async def run():
+            stream = endless_streams.INVALID[name]
+            slow = stream._replace(repeated=stream.repeated[:1])
+            async with EndlessHarness(slow, pause_s=0.01) as harness:
+                memory = harness.client.memory
+                task = asyncio.create_task(
+                    harness.run(timeout_s=0.4, idempotent=False)
+                )
+                await asyncio.sleep(0.2)
+                held_bytes = memory.total_bytes
+                outcome = await task
+                return outcome, held_bytes, memory.total_bytes
+
+        outcome, held_bytes, held_after_bytes = asyncio.run(run())
+        assert outcome == outcomes.Unknown(reason='timeout')
+        assert held_bytes <= 0.2 / 0.01
+        assert held_after_bytes == 0
+
     @INVALID
     def test_connection_is_closed_when_the_caller_disconnects(self, name):
         async def run():
