KNOWN-RED: unread bytes hide that a caller has left

If bytes of a later request arrive behind one that waits, the close is not seen: the running request goes on, and the waiting one is begun after the caller has left (['/1', '/2'] started, none cancelled).

--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -291,6 +291,27 @@
 
         assert asyncio.run(run()) == (['/1'], ['/1'])
 
+    # Guards against requests that run, and waiting ones that are begun, long
+    # after their caller has left, because bytes of a later request are unread.
+    @pytest.mark.parametrize('first', ['GET', 'POST'])
+    def test_unread_bytes_do_not_hide_that_the_caller_has_left(self, first):
+        async def run():
+            limits = configuration.CallerLimits()
+            async with ScriptedApplication({'/1': 1.2}, limits) as application:
+                _, writer = await application.connect()
+                body = b'x' if first == 'POST' else b''
+                writer.write(request_bytes('/1', first, body))
+                writer.write(request_bytes('/2', 'POST', b'x'))
+                await asyncio.sleep(0.1)
+                for _ in range(2):
+                    writer.write(request_bytes('/3', 'POST', b'x' * 100))
+                    await asyncio.sleep(0.1)
+                writer.close()
+                await asyncio.sleep(1.5)
+                return list(application.cancelled), list(application.started)
+
+        assert asyncio.run(run()) == (['/1'], ['/1'])
+
     def test_request_with_incomplete_body_is_not_run(self):
         async def run():
             async with ScriptedApplication() as application:
