instance: split the tests of caller connections

test_caller_connection.py had 1066 lines and three subjects. Its classes are unchanged in three files now: order, close and memory of connections; which requests are accepted or refused (test_caller_limits.py); bodies of requests (test_caller_bodies.py).

--- a/libs/citronshelf_instance/tests/test_shutdown.py
+++ b/libs/citronshelf_instance/tests/test_shutdown.py
@@ -4,12 +4,12 @@
 import contextlib
 import time
 
+from caller_harness import read_response
+from caller_harness import request_bytes
+from caller_harness import ScriptedApplication
+from caller_harness import SHORT
 from citronshelf_instance import request_handler
 from citronshelf_instance import shutdown
-from test_caller_connection import read_response
-from test_caller_connection import request_bytes
-from test_caller_connection import ScriptedApplication
-from test_caller_connection import SHORT
 import test_request_handler
 
 PATIENT = SHORT._replace(head_timeout_s=10.0, idle_timeout_s=10.0)
