instance: count the time until an observation is sent

Peers take the age of an observation from elapsed_s, which left out the up to 1 s that an observation waits to be sent. So they believed that a server got its last request up to 1 s later than it did, and a test of a silent server was due up to 2 s after its last request, the whole window of the rule.

--- a/libs/citronshelf_instance/citronshelf_instance/evidence.py
+++ b/libs/citronshelf_instance/citronshelf_instance/evidence.py
@@ -54,7 +54,8 @@
         Time of the request relative to the usual time of its route; 0 if
         the time is not evidence.
     elapsed_s : float
-        Seconds from the dispatch of the request to this observation.
+        Seconds from the dispatch of the request to this observation; in a
+        message, to the time at which it was sent.
     """
 
     server_id: str
@@ -63,6 +64,20 @@
     elapsed_s: float = 0.0
 
 
+class PendingObservation(NamedTuple):
+    """An observation that is not sent to peers yet, and its time."""
+
+    observation: Observation
+    observed_s: float
+
+    def to_send(self, now: float) -> Observation:
+        """Return the observation with the time that it has waited."""
+        waited_s = now - self.observed_s
+        return self.observation._replace(
+            elapsed_s=self.observation.elapsed_s + waited_s
+        )
+
+
 # Likelihood of each signal at a failing and at a healthy server.
 LIKELIHOODS = {
     HealthSignal.GOOD: (1 - FAILING_FAILURE_SHARE, 1 - HEALTHY_FAILURE_SHARE),
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -105,7 +105,7 @@
         self.readers = readers
         self.clock = clock
         self.rng = rng
-        self.pending: list[evidence.Observation] = []
+        self.pending: list[evidence.PendingObservation] = []
         self.flush_timer: asyncio.TimerHandle | None = None
         self.next_heartbeat_s = 0.0
         self.next_remote_heartbeat_s = 0.0
@@ -437,7 +437,9 @@
         shift = self.state.directory.record(observation, self.own.instance)
         if shift is None:
             return
-        self.pending.append(observation)
+        self.pending.append(
+            evidence.PendingObservation(observation, self.clock())
+        )
         if len(self.pending) >= MAX_PENDING_OBSERVATIONS:
             self.schedule_flush(0.0)
             return
@@ -461,7 +463,11 @@
         that do not fit into one message are sent in another flush.
         """
         self.flush_timer = None
-        batch = tuple(self.pending[: peer_messages.MAX_OBSERVATIONS])
+        now = self.clock()
+        batch = tuple(
+            pending.to_send(now)
+            for pending in self.pending[: peer_messages.MAX_OBSERVATIONS]
+        )
         del self.pending[: len(batch)]
         local_members = self.members.in_region()
         if len(local_members) > MAX_EVIDENCE_PEERS:
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -283,6 +283,33 @@
         assert sent == 3
         assert probability < 0.01
 
+    def test_time_until_it_is_sent_counts(self, clock, monkeypatch):
+        """A server that got nothing since must not count as in use.
+
+        Guards against tests of silent servers that came up to a second late.
+        """
+        monkeypatch.setattr(peers, 'EVIDENCE_DELAY_S', 0.02)
+
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            sent_s = clock()
+            clock.advance(0.2)
+            group.instances[1].record_observation(
+                evidence.Observation(
+                    's1', evidence.HealthSignal.GOOD, 1.0, elapsed_s=0.2
+                )
+            )
+            clock.advance(0.9)
+            await asyncio.sleep(0.05)
+            states = [
+                group.instances[number].state.directory.servers['s1']
+                for number in (1, 2, 4, 5)
+            ]
+            return [state.last_used_s - sent_s for state in states]
+
+        assert asyncio.run(run()) == pytest.approx([0.0] * 4)
+
     def test_no_observation_of_a_burst_is_lost(self, clock):
         async def run():
             group = Fleet(clock)
--- a/measures/gray_placement.py
+++ b/measures/gray_placement.py
@@ -186,7 +186,7 @@
             clock=self.simulation.clock,
             rng=random.Random(self.simulation.rng.random()),
         )
-        self.observations: list[evidence.Observation] = []
+        self.observations: list[evidence.PendingObservation] = []
         self.is_flush_scheduled = False
 
     def send(
@@ -257,7 +257,9 @@
     def observe(self, observation: evidence.Observation) -> None:
         """Record an observation and schedule sending it to the others."""
         shift = self.directory.record(observation, 'own')
-        self.observations.append(observation)
+        self.observations.append(
+            evidence.PendingObservation(observation, self.simulation.now)
+        )
         if peers.is_urgent(observation, shift):
             self.simulation.schedule(peers.URGENT_DELAY_S, self.flush)
         elif not self.is_flush_scheduled:
@@ -266,11 +268,9 @@
 
     def flush(self) -> None:
         """Send the collected observations to the other instances."""
-        observations, self.observations, self.is_flush_scheduled = (
-            self.observations,
-            [],
-            False,
-        )
+        now = self.simulation.now
+        observations = [pending.to_send(now) for pending in self.observations]
+        self.observations, self.is_flush_scheduled = [], False
         self.simulation.schedule(
             HOP_S, self.region.deliver, self, observations
         )
