--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -39,6 +39,9 @@
 # they only affect how much weight a later failure has.
 URGENT_FAILING_SHIFT = 0.1
 URGENT_SLOWNESS_SHIFT = 0.6
+# So are those of servers that had been silent for this long: until the others
+# know them, they send requests to keep the same servers in use.
+URGENT_SILENCE_S = 0.5
 URGENT_DELAY_S = 0.002
 EVIDENCE_DELAY_S = 1.0
 MAX_PENDING_OBSERVATIONS = 200
@@ -105,7 +108,7 @@
         self.readers = readers
         self.clock = clock
         self.rng = rng
-        self.pending: list[evidence.Observation] = []
+        self.pending: list[evidence.PendingObservation] = []
         self.flush_timer: asyncio.TimerHandle | None = None
         self.next_heartbeat_s = 0.0
         self.next_remote_heartbeat_s = 0.0
@@ -442,7 +445,9 @@
         shift = self.state.directory.record(observation, self.own.instance)
         if shift is None:
             return
-        self.pending.append(observation)
+        self.pending.append(
+            evidence.PendingObservation(observation, self.clock())
+        )
         if len(self.pending) >= MAX_PENDING_OBSERVATIONS:
             self.schedule_flush(0.0)
             return
@@ -466,7 +471,11 @@
         that do not fit into one message are sent in another flush.
         """
         self.flush_timer = None
-        batch = tuple(self.pending[: peer_messages.MAX_OBSERVATIONS])
+        now = self.clock()
+        batch = tuple(
+            pending.to_send(now)
+            for pending in self.pending[: peer_messages.MAX_OBSERVATIONS]
+        )
         del self.pending[: len(batch)]
         local_members = self.members.in_region()
         if len(local_members) > MAX_EVIDENCE_PEERS:
@@ -505,4 +514,5 @@
         observation.signal is evidence.HealthSignal.SHED
         or shift.failure_probability >= URGENT_FAILING_SHIFT
         or shift.slowness >= URGENT_SLOWNESS_SHIFT
+        or shift.silence_s >= URGENT_SILENCE_S
     )
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -264,6 +264,26 @@
 
         assert asyncio.run(run()) > 2.0
 
+    def test_response_of_a_silent_server_is_sent_at_once(self, clock):
+        """Guards against repeated tests of a server that just responded."""
+        good = evidence.Observation(
+            's1', evidence.HealthSignal.GOOD, 1.0, elapsed_s=0.1
+        )
+
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            for _ in range(5):
+                group.instances[1].record_observation(good)
+            await asyncio.sleep(2 * peers.URGENT_DELAY_S)
+            clock.advance(0.7)
+            group.instances[1].record_observation(good)
+            await asyncio.sleep(2 * peers.URGENT_DELAY_S)
+            state = group.instances[2].state.directory.servers['s1']
+            return clock() - state.last_used_s
+
+        assert asyncio.run(run()) == pytest.approx(0.1)
+
     def test_usual_responses_are_batched(self, clock, monkeypatch):
         monkeypatch.setattr(peers, 'EVIDENCE_DELAY_S', 0.1)
 
@@ -283,6 +303,33 @@
         assert sent == 3
         assert probability < 0.01
 
+    def test_time_until_it_is_sent_counts(self, clock, monkeypatch):
+        """A server that got nothing since must not count as in use.
+
+        Guards against tests of silent servers that came up to a second late.
+        """
+        monkeypatch.setattr(peers, 'EVIDENCE_DELAY_S', 0.02)
+
+        async def run():
+            group = Fleet(clock)
+            await group.step(rounds=3)
+            sent_s = clock()
+            clock.advance(0.2)
+            group.instances[1].record_observation(
+                evidence.Observation(
+                    's1', evidence.HealthSignal.GOOD, 1.0, elapsed_s=0.2
+                )
+            )
+            clock.advance(0.9)
+            await asyncio.sleep(0.05)
+            states = [
+                group.instances[number].state.directory.servers['s1']
+                for number in (1, 2, 4, 5)
+            ]
+            return [state.last_used_s - sent_s for state in states]
+
+        assert asyncio.run(run()) == pytest.approx([0.0] * 4)
+
     def test_no_observation_of_a_burst_is_lost(self, clock):
         async def run():
             group = Fleet(clock)
