--- a/libs/citronshelf_instance/citronshelf_instance/evidence.py
+++ b/libs/citronshelf_instance/citronshelf_instance/evidence.py
@@ -95,13 +95,10 @@
         Absolute change of the failure probability.
     slowness : float
         Absolute change of the slowness.
-    silence_s : float
-        Seconds without a request to the server before this one.
     """
 
     failure_probability: float
     slowness: float
-    silence_s: float = 0.0
 
 
 class HealthEstimate:
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -39,9 +39,6 @@
 # they only affect how much weight a later failure has.
 URGENT_FAILING_SHIFT = 0.1
 URGENT_SLOWNESS_SHIFT = 0.6
-# So are those of servers that had been silent for this long: until the others
-# know them, they send requests to keep the same servers in use.
-URGENT_SILENCE_S = 0.5
 URGENT_DELAY_S = 0.002
 EVIDENCE_DELAY_S = 1.0
 MAX_PENDING_OBSERVATIONS = 200
@@ -514,5 +511,4 @@
         observation.signal is evidence.HealthSignal.SHED
         or shift.failure_probability >= URGENT_FAILING_SHIFT
         or shift.slowness >= URGENT_SLOWNESS_SHIFT
-        or shift.silence_s >= URGENT_SILENCE_S
     )
--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -276,8 +276,7 @@
             return None
         now = self.clock()
         shift = state.estimate.record(observation, now)
-        silence_s = max(0.0, now - observation.elapsed_s - state.last_used_s)
-        state.last_used_s += silence_s
+        state.last_used_s = max(state.last_used_s, now - observation.elapsed_s)
         service = state.registration.service
         if observation.signal is not evidence.HealthSignal.STALLED:
             self.recent_dispatches(service).record(now)
@@ -287,7 +286,7 @@
         if suspected != state.suspected:
             state.suspected = suspected
             self.log_suspicion(state, observation, source)
-        return shift._replace(silence_s=silence_s)
+        return shift
 
     def recent_dispatches(self, service: str) -> coverage.RecentDispatches:
         """Return the recent dispatches of the region to a service."""
