--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -263,6 +263,12 @@
             'Highest resident memory',
             lambda: resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024,
         )
+        add(
+            'list_age_seconds',
+            'Longest age of the list of servers at a choice since this page'
+            ' was last read',
+            self.forwarder.placer.take_longest_list_age,
+        )
         add(
             'loop_delay_seconds',
             'Longest delay of the event loop since this page was last read',
--- a/libs/citronshelf_instance/citronshelf_instance/placement.py
+++ b/libs/citronshelf_instance/citronshelf_instance/placement.py
@@ -108,6 +108,12 @@
     clock : callable
         Returns monotonic time in seconds.
     rng : random.Random
+
+    Attributes
+    ----------
+    longest_list_age_s : float
+        Longest age of the list of servers at a choice since the value was
+        last taken.
     """
 
     def __init__(
@@ -127,6 +133,7 @@
         self.clock = clock
         self.rng = rng
         self.usage: dict[str, RouteUsage] = {}
+        self.longest_list_age_s = 0.0
 
     def usage_of(self, route: configuration.Route) -> RouteUsage:
         """Return the usage of a route, created on first use."""
@@ -192,6 +199,11 @@
         )
         return in_region.get(server)
 
+    def take_longest_list_age(self) -> float:
+        """Return and reset ``longest_list_age_s``."""
+        longest_s, self.longest_list_age_s = self.longest_list_age_s, 0.0
+        return longest_s
+
     def is_in_region(self, server: registrations.RegisteredServer) -> bool:
         """Return whether a server is in the region of this instance."""
         zone = server.registration.zone
@@ -243,6 +255,9 @@
         self, chosen, candidates, service, request_id, tried, now, test_target
     ) -> None:
         """Log the choice of a server with its inputs."""
+        list_age_s = self.directory.age_s()
+        if list_age_s is not None:
+            self.longest_list_age_s = max(self.longest_list_age_s, list_age_s)
         fields = {
             'request_id': request_id,
             'service': service,
@@ -250,6 +265,7 @@
             'tried': len(tried),
             'directory_revision': self.directory.revision,
             'directory_age_s': round(now - self.directory.revised_s, 3),
+            'list_age_s': None if list_age_s is None else round(list_age_s, 3),
         }
         if chosen is None:
             log_events.log_event(LOG, events.NO_SERVER, **fields)
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -39,9 +39,6 @@
         configuration in force if that is newer.
     unchanged_since : int
         No change is known after this revision and up to ``revision``.
-    confirmed_s : float or None
-        Time at which the store, or a reader of it, last showed that the state
-        was the newest; None if it never did.
     unread_revision : int
         Revision of the newest configuration that could not be read.
     limits : CallerLimits or None
@@ -62,7 +59,6 @@
         self.change_revision = 0
         self.unchanged_since = 0
         self.unread_revision = 0
-        self.confirmed_s: float | None = None
         self.configuration: configuration.Configuration | None = None
         self.routes: routing.RouteTable | None = None
         self.limits: configuration.CallerLimits | None = None
@@ -70,11 +66,16 @@
         self.routable = asyncio.Event()
 
     def replace(
-        self, snapshot: configuration.Snapshot, *, source: str
+        self,
+        snapshot: configuration.Snapshot,
+        *,
+        source: str,
+        confirmed_ago_s: float = 0.0,
     ) -> None:
         """Replace the state with a snapshot unless the snapshot is older.
 
-        The configuration of an older one is applied while there is none.
+        The configuration of an older one is applied while there is none. Only
+        a snapshot from the store confirms the state.
         """
         if snapshot.revision < self.revision:
             if self.configuration is None and snapshot.configuration:
@@ -83,7 +84,7 @@
             return
         self.revision = self.unchanged_since = snapshot.revision
         if source == STORE_SOURCE:
-            self.confirmed_s = self.clock()
+            self.directory.confirm(confirmed_ago_s)
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration, source)
         self.record_unread(snapshot.unread_configuration)
@@ -96,12 +97,14 @@
             self.routable.set()
         self.on_change()
 
-    def apply(self, changes: configuration.Changes) -> None:
+    def apply(
+        self, changes: configuration.Changes, confirmed_ago_s: float = 0.0
+    ) -> None:
         """Apply changes unless their revision is older than the known one."""
         if changes.revision < self.revision:
             return
         self.revision = changes.revision
-        self.confirmed_s = self.clock()
+        self.directory.confirm(confirmed_ago_s)
         if changes.configuration is not None:
             self.apply_configuration(changes.configuration, STORE_SOURCE)
         self.record_unread(changes.unread_configuration)
@@ -114,15 +117,27 @@
         if self.is_routable():
             self.routable.set()
 
-    def apply_delta(self, delta: configuration.RegistrationDelta) -> bool:
+    def apply_delta(
+        self,
+        delta: configuration.RegistrationDelta,
+        confirmed_ago_s: float | None = 0.0,
+    ) -> bool:
         """Apply changes that another instance read.
 
         Returns False, without a change, if they are known already or changes
         before them are missing.
+
+        Parameters
+        ----------
+        delta : RegistrationDelta
+        confirmed_ago_s : float or None
+            Seconds since the store showed the other instance that nothing
+            newer was published; None if unknown.
         """
         if not delta.after <= self.revision <= delta.revision:
             return False
-        self.confirmed_s = self.clock()
+        if confirmed_ago_s is not None:
+            self.directory.confirm(confirmed_ago_s)
         if delta.revision == self.revision:
             return False
         self.revision = delta.revision
@@ -177,9 +192,7 @@
 
         Returns None if it never was.
         """
-        if self.confirmed_s is None:
-            return None
-        return self.clock() - self.confirmed_s
+        return self.directory.age_s()
 
     def snapshot(self) -> configuration.Snapshot:
         """Return the state for an instance that cannot read the store."""
--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -115,12 +115,19 @@
     ----------
     clock : callable
         Monotonic seconds.
+
+    Attributes
+    ----------
+    confirmed_s : float or None
+        Time at which the store last showed, to this instance or to a reader
+        that reported it, that the list was the newest; None if it never did.
     """
 
     def __init__(self, *, clock):
         self.clock = clock
         self.revision = 0
         self.revised_s = 0.0
+        self.confirmed_s: float | None = None
         self.servers: dict[str, RegisteredServer] = {}
         self.by_service: dict[str, list[RegisteredServer]] = {}
         self.store_recovered_s = float('-inf')
@@ -146,6 +153,21 @@
         ago_s = self.clock() - self.store_recovered_s
         return ago_s if ago_s < LAPSED_GRACE_S else None
 
+    def confirm(self, ago_s: float) -> None:
+        """Record that the list was the newest ``ago_s`` seconds ago."""
+        confirmed_s = self.clock() - ago_s
+        if self.confirmed_s is None or confirmed_s > self.confirmed_s:
+            self.confirmed_s = confirmed_s
+
+    def age_s(self) -> float | None:
+        """Return the seconds since the list was known to be the newest.
+
+        Returns None if it never was.
+        """
+        if self.confirmed_s is None:
+            return None
+        return self.clock() - self.confirmed_s
+
     def replace(self, snapshot: configuration.Snapshot) -> None:
         """Replace all entries with those of a snapshot.
 
--- a/libs/citronshelf_instance/tests/test_placement.py
+++ b/libs/citronshelf_instance/tests/test_placement.py
@@ -114,3 +114,20 @@
         placer = make_placer(directory, clock)
         assert count_choices(placer, 20) == {'s2': 20}
         assert count_choices(placer, 20, tried={'s2'}) == {'s1': 20}
+
+
+class TestListAge:
+    """The longest age of the list at a choice can be read once."""
+
+    def test_longest_age_since_the_last_reading(self, clock):
+        directory = make_directory(clock, make_registration('s1'))
+        placer = make_placer(directory, clock)
+        count_choices(placer, 1)
+        assert placer.take_longest_list_age() == 0.0
+        directory.confirm(1.0)
+        clock.advance(2.0)
+        count_choices(placer, 1)
+        directory.confirm(0.5)
+        count_choices(placer, 1)
+        assert placer.take_longest_list_age() == 3.0
+        assert placer.take_longest_list_age() == 0.0
