instance: rely on readers only while the store answers them

Cause: a report of a reader counted as proof that nothing had changed, also while the reader's own watch got no response. It reported every second until the watch timed out, 3.5 to 6.9 s after its start, and its followers did not ask the store meanwhile.

A report is now sent after a response of the store, and says how long ago the store confirmed the reader's state. Each instance tracks the age of its list: a follower asks the store when it exceeds 1.6 s, readers one after another at 1.0 to 1.4 s. The first reader waits 0.8 s for changes instead of 2 s or more, so that the list of an undisrupted region stays younger. The bound holds without any message, since age grows by itself.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -100,7 +100,7 @@
             own=self.own, clock=clock, rng=self.rng
         )
         self.readers = reader_group.ReaderGroup(
-            members=self.members, clock=clock
+            members=self.members, list_age_s=self.state.age_s
         )
         self.links = links.ZmqLinks(address=self.own.address, keys=None)
         self.peers = peers.Peers(
@@ -127,6 +127,7 @@
         self.state.on_change = self.peers.announce_change
         self.peers.on_peer_revision = self.reader.handle_peer_revision
         self.peers.is_store_current = self.reader.is_current
+        self.reader.on_unchanged = self.peers.send_report
         self.forwarder = self.make_forwarder(clock)
         self.handler = request_handler.RequestHandler(
             state=self.state,
--- a/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
@@ -106,7 +106,7 @@
 class ReaderReport(NamedTuple):
     """Reports what a reader of the store knows to its region.
 
-    Sent at short intervals and after each change.
+    Sent after each response of the store.
 
     Attributes
     ----------
@@ -119,12 +119,16 @@
     delta : RegistrationDelta
         Without registrations if nothing changed. An instance that lacks
         changes before it must read them from the store.
+    confirmed_ago_s : float or None
+        Seconds since the store showed that the state after ``delta`` was the
+        newest; None if unknown.
     """
 
     sender: Member
     revision: Revision
     recovered_ago_s: AgeS | None
     delta: configuration.RegistrationDelta
+    confirmed_ago_s: AgeS | None = None
 
 
 class Leave(NamedTuple):
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -20,7 +20,6 @@
 LOG = logging.getLogger(__name__)
 
 MEMBERSHIP_INTERVAL_S = 0.5
-MAX_MEMBERSHIP_DELAY_S = 1.2 * MEMBERSHIP_INTERVAL_S
 HEARTBEAT_INTERVAL_S = 2.0
 HEARTBEAT_PEERS = 2
 HEARTBEAT_MEMBERS = 6
@@ -109,7 +108,6 @@
         self.flush_timer: asyncio.TimerHandle | None = None
         self.next_heartbeat_s = 0.0
         self.next_remote_heartbeat_s = 0.0
-        self.next_report_s = 0.0
         self.has_left = False
         self.next_fetch_s = float('-inf')
         self.fetch_interval_s = INITIAL_FETCH_INTERVAL_S
@@ -135,8 +133,6 @@
             if now >= self.next_heartbeat_s:
                 self.next_heartbeat_s = now + HEARTBEAT_INTERVAL_S
                 self.send_heartbeats()
-            if now >= self.next_report_s:
-                self.send_report()
             interval_s = (
                 MEMBERSHIP_INTERVAL_S if is_joined else JOIN_RETRY_INTERVAL_S
             )
@@ -222,16 +218,12 @@
             return
         if not self.is_store_current():
             return
-        self.next_report_s = (
-            self.clock()
-            + reader_group.REPORT_INTERVAL_S
-            - MAX_MEMBERSHIP_DELAY_S
-        )
         message = peer_messages.ReaderReport(
             self.own,
             self.state.change_revision,
             self.state.directory.recovered_ago_s(),
             delta or self.state.empty_delta(),
+            self.state.age_s(),
         )
         for peer in self.members.in_region():
             self.send(peer.member.address, message)
@@ -348,10 +340,9 @@
 
     def handle_report(self, message: peer_messages.ReaderReport) -> None:
         """Apply the report of a reader of this region."""
-        self.readers.record_report()
         if message.recovered_ago_s is not None:
             self.state.directory.record_store_recovery(message.recovered_ago_s)
-        self.state.apply_delta(message.delta)
+        self.state.apply_delta(message.delta, message.confirmed_ago_s)
         self.on_peer_revision(max(message.revision, message.delta.after))
 
     def send_state(self, message: peer_messages.FetchState, route) -> None:
--- a/libs/citronshelf_instance/citronshelf_instance/reader_group.py
+++ b/libs/citronshelf_instance/citronshelf_instance/reader_group.py
@@ -8,11 +8,13 @@
 READERS = 6
 # In smaller regions every instance watches the store itself.
 MIN_SHARING_INSTANCES = 24
-# Readers report at least this often, and once more when something changes.
-REPORT_INTERVAL_S = 1.0
-# An instance that has received no report of any reader for this long watches
-# the store itself. A change must be in force within 2.5 s.
-COVER_S = 2.0
+# An instance whose list of servers was last confirmed this long ago asks the
+# store. The limits of the readers grow with their rank, so that one of them
+# confirms the list for the region, and one more for each that gets no
+# response. A change must be in force within 2.5 s; the rest is for calls.
+FOLLOWER_AGE_LIMIT_S = 1.6
+READER_AGE_LIMIT_S = 1.0
+READER_AGE_STEP_S = 0.08
 
 
 class ReaderGroup:
@@ -25,14 +27,15 @@
     Parameters
     ----------
     members : Membership
-    clock : callable
-        Monotonic seconds.
+    list_age_s : callable
+        Returns the seconds since the store last showed, to this instance or
+        to a reader that reported it, that the known state was the newest;
+        None if it never did.
     """
 
-    def __init__(self, *, members: membership.Membership, clock):
+    def __init__(self, *, members: membership.Membership, list_age_s):
         self.members = members
-        self.clock = clock
-        self.covered_until_s = float('-inf')
+        self.list_age_s = list_age_s
 
     def is_sharing(self) -> bool:
         """Return whether only some instances of the region read the store."""
@@ -44,22 +47,43 @@
         In a region that shares readers, these are the instances with the
         smallest hashes of their names.
         """
-        if not self.is_sharing():
-            return True
+        return not self.is_sharing() or self.rank() < READERS
+
+    def is_confirming(self) -> bool:
+        """Return whether this instance confirms the list for its region."""
+        return self.is_sharing() and self.rank() == 0
+
+    def rank(self) -> int:
+        """Return how many instances of the region precede this one."""
         own = rank_key(self.members.own.instance)
-        before = sum(
+        return sum(
             rank_key(peer.member.instance) < own
             for peer in self.members.in_region()
         )
-        return before < READERS
 
-    def record_report(self) -> None:
-        """Record the report of a reader of the region."""
-        self.covered_until_s = self.clock() + COVER_S
+    def age_limit_s(self) -> float:
+        """Return the age of the list from which this instance asks the store.
+
+        Infinite in regions that do not share readers, where each instance
+        learns of missed changes from the others.
+        """
+        if not self.is_sharing():
+            return float('inf')
+        rank = self.rank()
+        if rank < READERS:
+            return READER_AGE_LIMIT_S + rank * READER_AGE_STEP_S
+        return FOLLOWER_AGE_LIMIT_S
+
+    def remaining_s(self) -> float:
+        """Return the seconds until the list is too old; 0 if it is."""
+        age_s = self.list_age_s()
+        if age_s is None:
+            return 0.0
+        return max(0.0, self.age_limit_s() - age_s)
 
     def is_covered(self) -> bool:
-        """Return whether a reader reports changes to this instance."""
-        return self.clock() < self.covered_until_s and not self.is_reader()
+        """Return whether readers confirm the list for this instance."""
+        return not self.is_reader() and self.remaining_s() > 0
 
     def count_watching(self) -> int:
         """Return about how many instances of all regions watch the store."""
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -44,9 +44,12 @@
 # Interval at which an instance without a state checks whether to request it
 # from peers.
 FIRST_STATE_INTERVAL_S = 0.1
-# Interval at which an instance that follows readers checks whether a change
-# was not reported.
+# Interval at which an instance that follows readers checks whether the list
+# of servers is too old.
 FOLLOW_INTERVAL_S = 0.2
+# The first reader of a region waits this long for changes, so that the list
+# is confirmed often while nothing changes.
+CONFIRMATION_WAIT_S = 0.8
 # Changes of more registrations are read from the store by every instance.
 MAX_DELTA_REGISTRATIONS = 64
 # Registrations may have lapsed in an outage of at least this length.
@@ -127,6 +130,7 @@
         self.outdated = asyncio.Event()
         self.peer_revision = 0
         self.calls = 0
+        self.on_unchanged = lambda: None
 
     async def run(self) -> None:
         """Follow the store, or readers of it, until cancelled."""
@@ -161,14 +165,18 @@
     async def read_all(self) -> None:
         """Replace the state with a full read of the store."""
         self.calls += 1
-        self.read_since_s = self.clock()
+        self.read_since_s = began_s = self.clock()
         read = await self.store.read_all()
         self.read_since_s = float('inf')
         if read.is_error():
             await self.handle_fault(read.error)
             return
         self.record_response()
-        self.state.replace(read.ok, source=published.STORE_SOURCE)
+        self.state.replace(
+            read.ok,
+            source=published.STORE_SOURCE,
+            confirmed_ago_s=self.clock() - began_s,
+        )
         self.tried_revision = self.state.unread_revision
         self.is_synced = True
         self.send_report(None)
@@ -187,7 +195,7 @@
         """Wait while readers of the region report all changes.
 
         Returns when the next call to the store is due: at once if no reader
-        reports, when a change was not reported in time, or to poll.
+        confirms the list, when a change was not reported in time, or to poll.
         """
         poll_at_s = self.clock() + POLL_INTERVAL_S * self.rng.uniform(0.5, 1.5)
         while self.group.is_covered() and self.clock() < poll_at_s:
@@ -196,7 +204,20 @@
                 if self.is_behind():
                     return
             self.state.directory.drop_lapsed()
-            await asyncio.sleep(FOLLOW_INTERVAL_S)
+            self.outdated.clear()
+            await self.wait_announcement(FOLLOW_INTERVAL_S)
+
+    async def wait_announcement(self, wait_s: float) -> bool:
+        """Wait until a peer announces a newer change.
+
+        Returns False if that takes longer than ``wait_s`` seconds.
+        """
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.outdated.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def is_behind(self) -> bool:
         """Return whether another instance knows a newer change."""
@@ -212,15 +233,17 @@
         self.outdated.clear()
         # After an outage the store is polled without a wait: it responds at
         # once when it is back, but a call that waits for changes might hang
-        # past its recovery. An instance that follows readers, or knows that
-        # it has missed a change, only catches up.
+        # past its recovery. An instance that follows readers, knows that it
+        # has missed a change, or has an old list, only catches up.
         may_wait = (
             self.is_reachable
             and not self.group.is_covered()
             and not self.is_behind()
+            and self.group.remaining_s() > 0
         )
         wait_s = self.draw_wait_s() if may_wait else 0.0
         after = self.state.revision
+        began_s = self.clock()
         changed = await self.call_watch(after, wait_s)
         if changed is None:
             return
@@ -229,23 +252,39 @@
             return
         self.record_response()
         after = min(after, self.state.unchanged_since)
-        self.state.apply(changed.ok)
+        response_age_s = self.response_age_s(began_s, wait_s, changed.ok)
+        self.state.apply(changed.ok, response_age_s)
         self.tried_revision = max(
             self.tried_revision, changed.ok.unread_configuration
         )
         if not changed.ok.is_empty():
             self.send_report(make_delta(after, changed.ok))
             await asyncio.sleep(PAUSE_AFTER_CHANGE_S)
-        elif self.is_behind():
+            return
+        self.on_unchanged()
+        if self.is_behind():
             await asyncio.sleep(OUTDATED_DELAY_S * self.rng.uniform(1, 2))
 
+    def response_age_s(
+        self, began_s: float, wait_s: float, changes: configuration.Changes
+    ) -> float:
+        """Return how long ago the state in a response was the newest.
+
+        The store answers a watch as soon as something changes, or when its
+        wait has ended; a call without a wait, at any time until the response.
+        """
+        elapsed_s = self.clock() - began_s
+        if wait_s > 0 and not changes.is_empty():
+            return 0.0
+        return max(0.0, elapsed_s - wait_s)
+
     async def call_watch(self, after: int, wait_s: float) -> Result | None:
         """Call the store for changes.
 
         Returns None if the call was abandoned because a peer has known a newer
-        revision for a while. The next call then starts from the revision that
-        is known by that time. A call without a wait is never abandoned, so
-        that its timeout shows an outage.
+        revision for a while, or because the list became too old. The next call
+        then starts from the revision that is known by that time. A call
+        without a wait is never abandoned, so that its timeout shows an outage.
         """
         watching = asyncio.ensure_future(self.store.watch(after, wait_s))
         waiters = {watching}
@@ -259,7 +298,9 @@
                 waiter.cancel()
 
     def draw_wait_s(self) -> float:
-        """Return a random wait in seconds for the next watch."""
+        """Return a wait in seconds for the next watch, in general random."""
+        if self.group.is_confirming():
+            return CONFIRMATION_WAIT_S
         longest_s = (
             MIN_WATCH_WAIT_S
             + WATCH_WAIT_PER_INSTANCE_S * self.group.count_watching()
@@ -271,9 +312,15 @@
     async def wait_outdated(self) -> None:
         """Wait until a peer has known a newer revision for a while.
 
-        The delay gives the running watch time to return that revision.
+        The delay gives the running watch time to return that revision. Returns
+        earlier if the list becomes too old.
         """
-        await self.outdated.wait()
+        while True:
+            remaining_s = self.group.remaining_s()
+            if remaining_s == 0:
+                return
+            if await self.wait_announcement(remaining_s):
+                break
         await asyncio.sleep(OUTDATED_DELAY_S * self.rng.uniform(1, 2))
 
     def handle_peer_revision(self, revision: int) -> None:
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -108,7 +108,7 @@
             state=state,
             members=members,
             readers=reader_group.ReaderGroup(
-                members=members, clock=self.clock
+                members=members, list_age_s=state.age_s
             ),
             clock=self.clock,
             rng=rng,
@@ -399,8 +399,19 @@
         monkeypatch.setattr(reader_group, 'MIN_SHARING_INSTANCES', 3)
         monkeypatch.setattr(reader_group, 'READERS', 1)
 
-    def report(self, clock, delta, *, is_current=True, prepare=None):
-        """Let the reader of each region report; return the instances."""
+    def report(
+        self,
+        clock,
+        delta,
+        *,
+        is_current=True,
+        prepare=None,
+        confirmed_ago_s=0.0,
+    ):
+        """Let the reader of each region report; return the instances.
+
+        The store confirmed the reader's state ``confirmed_ago_s`` before.
+        """
 
         async def run():
             group = Fleet(clock, count=9)
@@ -411,6 +422,8 @@
                 prepare(group)
             for one in group.instances:
                 if one.own.location.region == 'kolkata':
+                    if one.readers.is_reader():
+                        one.state.directory.confirm(confirmed_ago_s)
                     one.send_report(delta)
             await asyncio.sleep(0.02)
             return group.instances
@@ -433,6 +446,18 @@
             assert list(one.state.directory.servers) == ['s1', 's2']
             assert not one.readers.is_covered()
 
+    def test_reader_without_recent_response_covers_nobody(self, clock):
+        limit_s = reader_group.FOLLOWER_AGE_LIMIT_S
+        instances = self.report(clock, None, confirmed_ago_s=limit_s)
+        assert not any(one.readers.is_covered() for one in instances)
+        instances = self.report(clock, None, confirmed_ago_s=limit_s - 0.1)
+        followers = [
+            one
+            for one in self.of_region(instances, 'kolkata')
+            if not one.readers.is_reader()
+        ]
+        assert all(one.readers.is_covered() for one in followers)
+
     def test_nothing_is_reported_while_the_store_is_away(self, clock):
         instances = self.report(clock, None, is_current=False)
         assert not any(one.readers.is_covered() for one in instances)
--- a/libs/citronshelf_instance/tests/test_reader_group.py
+++ b/libs/citronshelf_instance/tests/test_reader_group.py
@@ -27,7 +27,8 @@
     )
     for member in members:
         known.record_member(member)
-    return reader_group.ReaderGroup(members=known, clock=clock)
+    group = reader_group.ReaderGroup(members=known, list_age_s=lambda: None)
+    return group
 
 
 class TestChoice:
@@ -67,26 +68,49 @@
 
 
 class TestCover:
-    """An instance relies on readers only while it hears from them."""
+    """An instance relies on readers only while they confirm its list."""
+
+    def make_groups(self, clock, count=30):
+        members = [make_member(n) for n in range(count)]
+        return [make_group(clock, n, members) for n in range(count)]
 
     def make_follower(self, clock):
-        members = [make_member(n) for n in range(30)]
-        groups = [make_group(clock, n, members) for n in range(30)]
+        groups = self.make_groups(clock)
         return next(group for group in groups if not group.is_reader())
 
-    def test_instance_without_reports_is_not_covered(self, clock):
+    def test_instance_without_confirmation_is_not_covered(self, clock):
         assert not self.make_follower(clock).is_covered()
 
-    def test_report_covers_for_a_while(self, clock):
+    def test_confirmation_covers_for_a_while(self, clock):
         group = self.make_follower(clock)
-        group.record_report()
-        clock.advance(reader_group.COVER_S - 0.01)
+        limit_s = reader_group.FOLLOWER_AGE_LIMIT_S
+        group.list_age_s = lambda: limit_s - 0.01
         assert group.is_covered()
-        clock.advance(0.02)
+        group.list_age_s = lambda: limit_s
         assert not group.is_covered()
 
     def test_reader_is_never_covered(self, clock):
         members = [make_member(n) for n in range(3)]
         group = make_group(clock, 0, members)
-        group.record_report()
+        group.list_age_s = lambda: 0.0
         assert not group.is_covered()
+
+    def test_readers_ask_the_store_one_after_another(self, clock):
+        groups = self.make_groups(clock)
+        limits_s = sorted(group.age_limit_s() for group in groups)
+        readers_s = limits_s[: reader_group.READERS]
+        assert len(set(readers_s)) == reader_group.READERS
+        assert set(limits_s[reader_group.READERS :]) == {
+            reader_group.FOLLOWER_AGE_LIMIT_S
+        }
+        assert readers_s[-1] < reader_group.FOLLOWER_AGE_LIMIT_S
+
+    def test_one_reader_confirms_the_list(self, clock):
+        groups = self.make_groups(clock)
+        assert sum(group.is_confirming() for group in groups) == 1
+
+    def test_small_regions_have_no_limit(self, clock):
+        for group in self.make_groups(clock, count=5):
+            group.list_age_s = lambda: 100.0
+            assert group.remaining_s() == float('inf')
+            assert not group.is_confirming()
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -71,6 +71,12 @@
     def is_covered(self):
         return self.covered
 
+    def remaining_s(self):
+        return float('inf')
+
+    def is_confirming(self):
+        return False
+
     def count_watching(self):
         return self.watching
 
--- a/libs/citronshelf_instance/tests/virtual_fleet.py
+++ b/libs/citronshelf_instance/tests/virtual_fleet.py
@@ -104,7 +104,7 @@
         )
         members = membership.Membership(own=own, clock=clock, rng=rng)
         readers = reader_group.ReaderGroup(
-            members=members, clock=clock
+            members=members, list_age_s=self.state.age_s
         )
         self.peers = peers.Peers(
             own=own,
@@ -128,6 +128,7 @@
         )
         self.peers.on_peer_revision = self.reader.handle_peer_revision
         self.peers.is_store_current = self.reader.is_current
+        self.reader.on_unchanged = self.peers.send_report
 
     def start(self):
         self.tasks = [
