--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -273,11 +273,13 @@
         timeout_s: float,
         *,
         max_bytes: int = MAX_FETCHED_BYTES,
+        new_connection: bool = False,
     ) -> httpclient.HTTPResponse:
         """Fetch a small resource; a failure is a response with status 599.
 
         A body above ``max_bytes`` is a failure, and so is one with more
-        framing than a response to a caller may have.
+        framing than a response to a caller may have. A new connection is not
+        kept afterwards.
         """
         future = asyncio.get_running_loop().create_future()
         request = httpclient.HTTPRequest(
@@ -287,7 +289,7 @@
             follow_redirects=False,
             decompress_response=False,
             prepare_curl_callback=functools.partial(
-                self.set_fetch_options, max_bytes, future
+                self.set_fetch_options, max_bytes, new_connection, future
             ),
         )
         self.curl.fetch_impl(
@@ -297,10 +299,16 @@
         return await future
 
     def set_fetch_options(
-        self, max_bytes: int, future: asyncio.Future, curl: pycurl.Curl
+        self,
+        max_bytes: int,
+        new_connection: bool,
+        future: asyncio.Future,
+        curl: pycurl.Curl,
     ) -> None:
         """Set the options of a fetch, whose body tornado collects."""
         set_status_options(max_bytes, curl)
+        curl.setopt(pycurl.FRESH_CONNECT, int(new_connection))
+        curl.setopt(pycurl.FORBID_REUSE, int(new_connection))
         framing = FetchedFraming(
             curl=curl, future=future, abort=self.curl.abort
         )
--- a/libs/citronshelf_entry/tests/test_upstream.py
+++ b/libs/citronshelf_entry/tests/test_upstream.py
@@ -468,6 +468,23 @@
         assert code == 599
         assert elapsed_s < 2 * upstream.CONNECT_TIMEOUT_S
 
+    # Guards against a response that never comes on a connection that has gone
+    # silent since its last use.
+    @pytest.mark.parametrize('new, connections', [(True, 2), (False, 1)])
+    def test_new_connection_is_not_a_kept_one(
+        self, raw_server, scripts, new, connections
+    ):
+        async def run():
+            client = upstream.UpstreamClient()
+            async with raw_server(scripts(OK)) as server:
+                url = f'http://{server.address.authority()}/'
+                for _ in range(2):
+                    await client.fetch_small(url, 1.0, new_connection=new)
+            client.close()
+            return server.connections
+
+        assert asyncio.run(run()) == connections
+
 
 class TestFailures:
     """Only a failure with nothing sent means that the work did not run."""
