control: ignore invalid rows of the fleet list, follow the others

In citronshelf-control one invalid row (a port out of range, say) made each later list refused, so that draining servers kept getting work; a forward port of 2^70 was accepted, and a row nested over 1,000 levels raised RecursionError in the reader of the list, which ends the daemon.

An invalid row is ignored now and logged (event 1606). A list nested too deeply to be read is refused like one that is no array; the next one is followed.

--- a/libs/citronshelf_control/citronshelf_control/daemon.py
+++ b/libs/citronshelf_control/citronshelf_control/daemon.py
@@ -8,11 +8,13 @@
 from expression import Error
 from expression import Result
 
+from citronshelf_common import events as common_events
 from citronshelf_common import fleet
 from citronshelf_common import identity
 from citronshelf_common import settings
 from citronshelf_control import admin
 from citronshelf_control import entry_link
+from citronshelf_control import events
 from citronshelf_control import fleet_list
 from citronshelf_control import metrics
 from citronshelf_control import platform_values
@@ -165,7 +167,17 @@
         return self.standings.set_servers(current_list, marked_leaving)
 
     def apply_list(self, current_list: fleet_list.FleetList) -> None:
-        """Accept evidence for the servers of a new list; plan their probes."""
+        """Accept evidence for the servers of a new list; plan their probes.
+
+        Logs how many rows of the list were ignored, and why the first was.
+        """
+        if current_list.faults:
+            common_events.log_event(
+                LOG,
+                events.LIST_ROWS_IGNORED,
+                rows=len(current_list.faults),
+                reason=current_list.faults[0][:200],
+            )
         self.peering.evidence_pool.known_servers = frozenset(
             server.server_id for server in current_list.servers
         )
--- a/libs/citronshelf_control/citronshelf_control/events.py
+++ b/libs/citronshelf_control/citronshelf_control/events.py
@@ -42,3 +42,9 @@
     logging.WARNING,
     'invalid response from a health endpoint',
 )
+LIST_ROWS_IGNORED = Event(
+    1606,
+    'list-rows-ignored',
+    logging.WARNING,
+    'invalid rows in the fleet list; ignoring them',
+)
--- a/libs/citronshelf_control/citronshelf_control/fleet_list.py
+++ b/libs/citronshelf_control/citronshelf_control/fleet_list.py
@@ -1,5 +1,6 @@
 """Parses the platform's list of backend servers and entry instances."""
 
+import ipaddress
 from typing import Annotated
 from typing import Literal
 from typing import NamedTuple
@@ -33,7 +34,7 @@
     zone: settings.Name
     state: Literal['live', 'leaving']
     pool: NotRequired[str | None]
-    forward_port: NotRequired[int | None]
+    forward_port: NotRequired[Port | None]
 
 
 class FleetList(NamedTuple):
@@ -47,23 +48,28 @@
         Ids of the servers listed as leaving.
     entries : tuple of EntryInstance
         Live entry instances.
+    faults : tuple of str
+        Why rows were ignored.
     """
 
     servers: tuple[fleet.BackendServer, ...] = ()
     leaving: frozenset[str] = frozenset()
     entries: tuple[fleet.EntryInstance, ...] = ()
+    faults: tuple[str, ...] = ()
 
 
-DECODER = msgspec.json.Decoder(
-    Annotated[list[ListRow], msgspec.Meta(max_length=MAX_ROWS)]
+ROWS_DECODER = msgspec.json.Decoder(
+    Annotated[list[msgspec.Raw], msgspec.Meta(max_length=MAX_ROWS)]
 )
+ROW_DECODER = msgspec.json.Decoder(ListRow)
 
 
 def parse_list(data: bytes) -> Result:
     """Parse and validate the fleet list.
 
-    It is refused if a row is invalid, a pair of kind and id occurs twice, or
-    a backend server has no pool.
+    A row that is invalid, or a backend server without a pool, is ignored. The
+    list is refused if it is no JSON array, is nested too deeply to be read, or
+    if a pair of kind and id occurs twice.
 
     Parameters
     ----------
@@ -76,18 +82,45 @@
         ``Ok`` with a ``FleetList`` or ``Error`` with the reason.
     """
     try:
-        rows = DECODER.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        texts = ROWS_DECODER.decode(data)
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         return Error(str(error))
+    rows: list[ListRow] = []
+    faults: list[str] = []
     seen: set[tuple[str, str]] = set()
-    for row in rows:
+    for text in texts:
+        parsed = parse_row(text)
+        if parsed.is_error():
+            faults.append(parsed.error)
+            continue
+        row = parsed.ok
         key = (row['kind'], row['id'])
         if key in seen:
             return Error(f'{row["kind"]} {row["id"]} is listed twice')
-        if row['kind'] == 'backend' and not row.get('pool'):
-            return Error(f'backend {row["id"]} has no pool')
         seen.add(key)
-    return Ok(make_fleet_list(rows))
+        rows.append(row)
+    return Ok(make_fleet_list(rows)._replace(faults=tuple(faults)))
+
+
+def parse_row(text: msgspec.Raw) -> Result:
+    """Return ``Ok`` with a ``ListRow`` or ``Error`` with the reason."""
+    try:
+        row = ROW_DECODER.decode(text)
+        ipaddress.ip_address(row['ip'])
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+        ValueError,
+    ) as error:
+        return Error(str(error))
+    if row['kind'] == 'backend' and not row.get('pool'):
+        return Error(f'backend {row["id"]} has no pool')
+    return Ok(row)
 
 
 def make_fleet_list(rows: list[ListRow]) -> FleetList:
--- a/libs/citronshelf_control/tests/test_daemon.py
+++ b/libs/citronshelf_control/tests/test_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import socket
 
 from tornado import httpclient
@@ -308,6 +309,41 @@
         run(scenario)
 
 
+class TestForeignRows:
+    """Rows of another writer do not stop instances from following the list."""
+
+    # Guards against a list whose changes are ignored for one invalid row, and
+    # against a row that ends each instance.
+    def test_later_lists_are_followed(self, caplog):
+        async def scenario(pair):
+            rows = json.loads(pair.values['instances'][1])
+            odd = make_row('odd', 'backend', 2**70, pool='mint')
+            rows[2]['state'] = 'leaving'
+            pair.values['instances'] = (2, json.dumps([odd, *rows]).encode())
+            await wait_leaving(pair, 's-0')
+            nested = b'[' + b'[' * 5000 + b']' * 5000 + b']'
+            pair.values['instances'] = (3, nested)
+            await asyncio.sleep(1.0)
+            rows[3]['state'] = 'leaving'
+            pair.values['instances'] = (4, json.dumps(rows).encode())
+            await wait_leaving(pair, 's-1')
+
+        async def wait_leaving(pair, server_id):
+            for entry in pair.entries:
+                await pair.wait_until(
+                    lambda e=entry: (
+                        e.standings()[server_id] is fleet.Standing.LEAVING
+                    )
+                )
+
+        with caplog.at_level(logging.WARNING):
+            run(scenario)
+        names = [
+            getattr(record, 'event_name', '') for record in caplog.records
+        ]
+        assert 'list-rows-ignored' in names
+
+
 class TestProgram:
     """Invalid settings end the program; the error names file and line."""
 
