entry: believe a refusal on a kept connection only with the request's id

Other operators reported a faulty server that wrote an earlier refusal once more on a kept connection: clients were told 'not run' for requests that ran.

Here citronshelf-instance opens a connection for each request and closes it, so it never reads such bytes (TestRepeatedRefusal). citronshelf-entry keeps connections for idempotent requests, and a 503 with X-Not-Run and without an X-Request-Id counted as proof, whichever request it belonged to. Requests that must run once use new connections and were not affected.

Such a refusal is still tried at another server, but the caller is no longer told that nothing ran: the outcome is Unknown. The stand-in backend returns X-Request-Id, so that its refusals stay proofs. test_repeated_refusal and test_outcome_of_refusals_on_kept_connections fail without the change.

--- a/libs/citronshelf_entry/citronshelf_entry/attempt.py
+++ b/libs/citronshelf_entry/citronshelf_entry/attempt.py
@@ -19,6 +19,7 @@
 
 LOG = logging.getLogger(__name__)
 Ending = traffic_work.Ending
+REQUEST_ID_HEADER = 'x-request-id'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -147,8 +148,13 @@
 
     def conclude_shed(self, head, reason: str) -> classify.Failure:
         """Record a response with a "not run" marker as a failure."""
+        execution = (
+            classify.ExecutionStatus.NOT_RUN
+            if self.is_own_refusal(head)
+            else classify.ExecutionStatus.UNKNOWN
+        )
         failure = classify.Failure(
-            classify.ExecutionStatus.NOT_RUN,
+            execution,
             classify.FailureSignal.NONE,
             reason,
             True,
@@ -161,6 +167,16 @@
             )
         return failure
 
+    def is_own_refusal(self, head: exchange.ResponseHead) -> bool:
+        """Return whether a refusal is proved to belong to this request.
+
+        On a kept connection, a refusal without the id of a request may be an
+        earlier one that the server sent again. Only idempotent requests use
+        kept connections.
+        """
+        has_id = bool(headers.first_of(head.headers, REQUEST_ID_HEADER))
+        return has_id or not self.job.work.idempotent
+
     def conclude_failure(self, failure: classify.Failure) -> classify.Failure:
         """Record and log an exchange without a complete response."""
         if self.mark_concluded():
--- a/libs/citronshelf_entry/citronshelf_entry/classify.py
+++ b/libs/citronshelf_entry/citronshelf_entry/classify.py
@@ -40,7 +40,8 @@
     reason : str
         Short text for the log and the caller.
     shed : bool
-        The server responded that it did not run the work.
+        The server responded that it did not run the work. The response may
+        belong to another request unless ``execution`` is NOT_RUN.
     """
 
     execution: ExecutionStatus
--- a/libs/citronshelf_entry/citronshelf_entry/dispatch.py
+++ b/libs/citronshelf_entry/citronshelf_entry/dispatch.py
@@ -146,7 +146,7 @@
             placement = await self.choose_server(job, tried)
             if isinstance(placement, str):
                 reason = last.reason if last else placement
-                return not_run(reason), placement in REQUEUE_REASONS
+                return refused(job, reason), placement in REQUEUE_REASONS
             observer = observers.Observer(
                 rules=self.state.rules,
                 counter=self.counter,
@@ -164,13 +164,16 @@
                         used, result, receiver
                     ), False
             if result.execution is not classify.ExecutionStatus.NOT_RUN:
-                return outcomes.Unknown(reason=result.reason), False
+                if not result.shed:
+                    return outcomes.Unknown(reason=result.reason), False
+                job.may_have_run = True
             if result.reason == exchange.SEND_WITHDRAWN:
                 # No server refused the work; the choice was too old when the
                 # connection was ready. It is repeated until the deadline.
                 continue
             if not self.may_choose_again(job, observer, tried):
-                return not_run(result.reason), observer.ending is Ending.SHED
+                is_shed = observer.ending is Ending.SHED
+                return refused(job, result.reason), is_shed
             last = result
             tried = tried | observer.servers
 
@@ -335,6 +338,13 @@
         return outcomes.Broken(reason=reason)
 
 
+def refused(job: jobs.Job, reason: str) -> outcomes.NotRun | outcomes.Unknown:
+    """Return the outcome for work that no server accepted."""
+    if job.may_have_run:
+        return outcomes.Unknown(reason=reason)
+    return not_run(reason)
+
+
 def not_run(reason: str) -> outcomes.NotRun:
     """Return the outcome for work that no server ran."""
     return outcomes.NotRun(reason=reason)
--- a/libs/citronshelf_entry/citronshelf_entry/job.py
+++ b/libs/citronshelf_entry/citronshelf_entry/job.py
@@ -31,6 +31,8 @@
     account : str
     abandoned : bool
         The caller no longer waits; no further attempt is sent.
+    may_have_run : bool
+        A server may have run the work although it was sent on to another.
     """
 
     work: traffic_work.Work
@@ -41,6 +43,7 @@
     body: bytes
     account: str
     abandoned: bool = False
+    may_have_run: bool = False
 
     def remaining_s(self) -> float:
         """Return the seconds left until the deadline."""
--- a/libs/citronshelf_entry/tests/test_freshness.py
+++ b/libs/citronshelf_entry/tests/test_freshness.py
@@ -349,3 +349,23 @@
         world.in_flight[3].respond(200, [], body)
         world.settle()
         assert isinstance(world.replies[0].outcome, outcomes.Response)
+
+    # Guards against "not run" for a request that one of the servers may have
+    # run, since its refusal may have belonged to an earlier request.
+    @pytest.mark.parametrize(
+        'proves, expected',
+        [(True, outcomes.NotRun), (False, outcomes.Unknown)],
+    )
+    def test_outcome_of_refusals_on_kept_connections(
+        self, world, proves, expected
+    ):
+        world.send_plain('0', 'w', idempotent=True)
+        while not world.replies:
+            for request in [r for r in world.in_flight if r.phase != 'over']:
+                request.send()
+                request_id = request.upstream_request.request_id
+                own_id = [f'X-Request-Id: {request_id}'] if proves else []
+                request.respond(503, ['X-Not-Run: shed', *own_id], b'no')
+            world.settle()
+            world.advance(0.1)
+        assert isinstance(world.replies[0].outcome, expected)
--- a/libs/citronshelf_entry/tests/test_response_memory.py
+++ b/libs/citronshelf_entry/tests/test_response_memory.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import sys
-import types
 
 import pytest
 import zmq
 
-from citronshelf_entry import attempt as attempts
+import attempt_builders
 from citronshelf_entry import body_buffer
 from citronshelf_entry import daemon
 from citronshelf_entry import exchange
@@ -113,22 +112,6 @@
         assert held_bytes < 1.25 * buffer.size
 
 
-class FakeObserver:
-    """Observer that records nothing."""
-
-    def begin(self, placement):
-        pass
-
-    def on_head(self, attempt, head):
-        pass
-
-    def record_response(self, attempt, head, size):
-        pass
-
-    def record_failure(self, attempt, failure, ending, load):
-        pass
-
-
 class TestAttempts:
     """What an attempt reads counts until it is passed on or cancelled.
 
@@ -148,7 +131,9 @@
             async with raw_server(script) as server:
 
                 def start():
-                    return make_attempt(client, server, upstream_request)
+                    return attempt_builders.make_attempt(
+                        client, server, upstream_request
+                    )
 
                 result = await scenario(memory, start)
             client.close()
@@ -212,26 +197,6 @@
         ) == ({exchange.MEMORY_FULL}, 0)
 
 
-def make_attempt(client, server, upstream_request):
-    """Return an attempt whose request goes to a server."""
-
-    class DirectAttempt(attempts.Attempt):
-        def upstream_request(self):
-            return upstream_request(server.address)
-
-    return DirectAttempt(
-        job=types.SimpleNamespace(
-            method='GET',
-            work=types.SimpleNamespace(idempotent=False, request_id='r1'),
-        ),
-        placement=types.SimpleNamespace(
-            server=types.SimpleNamespace(server_id='s', address=server.address)
-        ),
-        client=client,
-        observer=FakeObserver(),
-    )
-
-
 class TestDaemon:
     """The daemon limits the responses of all its exchanges together."""
 
--- a/libs/citronshelf_entry/tests/test_upstream.py
+++ b/libs/citronshelf_entry/tests/test_upstream.py
@@ -440,6 +440,48 @@
         assert connections == 2
 
 
+class TestRepeatedRefusal:
+    """A refusal that is written again is never read.
+
+    Guards against "not run" for a request that runs, under the options with
+    which citronshelf-instance sends all requests.
+    """
+
+    def test_each_request_reads_its_own_connection(
+        self, raw_server, upstream_request
+    ):
+        refusal = b'HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n'
+
+        async def script(server, _head, writer):
+            if server.connections == 1:
+                writer.write(2 * (refusal + b'\r\n'))
+            else:
+                server.writers[0].write(refusal + b'\r\n')
+                writer.write(OK)
+            await writer.drain()
+
+        async def run():
+            client = upstream.UpstreamClient()
+            statuses = []
+            async with raw_server(script) as server:
+                request = upstream_request(
+                    server.address,
+                    method='POST',
+                    new_connection=True,
+                    close_after=True,
+                    rules=exchange.ResponseRules(
+                        close_delimited=True, ignore_surplus=True
+                    ),
+                )
+                for _ in range(3):
+                    head, _ = await fetch(client, request)
+                    statuses.append(head.status)
+            client.close()
+            return statuses, server.connections
+
+        assert asyncio.run(run()) == ([503, 200, 200], 3)
+
+
 class TestEndlessStatus:
     """A cancellation or health check ends at a limit on its response.
 
--- a/libs/citronshelf_standins/citronshelf_standins/backend_program.py
+++ b/libs/citronshelf_standins/citronshelf_standins/backend_program.py
@@ -28,9 +28,15 @@
     """Base class of all handlers, with the worker and the load headers."""
 
     def initialize(self, worker: work.Worker, name: str) -> None:
-        """Set the worker and server name shared by all handlers."""
+        """Set the worker and server name shared by all handlers.
+
+        Responses return the request's ``X-Request-Id``.
+        """
         self.worker = worker
         self.name = name
+        request_id = self.request.headers.get('X-Request-Id')
+        if request_id:
+            self.set_header('X-Request-Id', request_id)
 
     def set_load_headers(self) -> None:
         """Set ``X-Load`` and, while draining, ``X-Draining``."""
