--- a/libs/citronshelf_instance/tests/test_list_age.py
+++ b/libs/citronshelf_instance/tests/test_list_age.py
@@ -41,16 +41,24 @@
             client for process, client in pairs if process.readers.is_reader()
         ]
 
-    def is_draining(self, process):
-        """Return whether an instance knows that the server drains."""
-        server = process.state.directory.servers['s1']
-        return server.registration.draining
+    def uses_server(self, process):
+        """Return whether an instance may send requests to the server."""
+        usable = process.state.directory.usable('ledger')
+        return any(server.server_id == 's1' for server in usable)
 
     async def time_to_drain(self, processes, limit_s=20.0):
-        """Drain the server; return the time until all instances know it."""
+        """Drain the server; return the time until no instance uses it."""
         self.store.put(make_registration('s1', draining=True))
+        return await self.time_until_unused(processes, limit_s)
+
+    async def time_to_remove(self, processes, limit_s=20.0):
+        """Remove the server; return the time until no instance uses it."""
+        self.store.remove('s1')
+        return await self.time_until_unused(processes, limit_s)
+
+    async def time_until_unused(self, processes, limit_s):
         began_s = self.loop.time()
-        while not all(self.is_draining(process) for process in processes):
+        while any(self.uses_server(process) for process in processes):
             if self.loop.time() - began_s > limit_s:
                 break
             await asyncio.sleep(STEP_S)
@@ -151,3 +159,89 @@
             [0.2, 1.0, 2.0], lambda region: region.processes
         )
         assert slowest_s <= store_reader.PAUSE_AFTER_CHANGE_S + 0.5
+
+
+class TestRemovalAfterPartialOutage:
+    """A server that leaves is not kept for an outage that others had."""
+
+    OUTAGE_S = 6.0
+
+    def slowest_removal(self, delay_s, *, outages, checked):
+        """Return the longest time until the removed server is unused.
+
+        Parameters
+        ----------
+        delay_s : float
+            Time from the end of the outage to the removal.
+        outages, checked : callable
+            Return whether an instance has the outage, and whether it must
+            not use the server any more.
+        """
+
+        async def scenario(region):
+            now = region.loop.time()
+            pairs = zip(region.processes, region.clients, strict=True)
+            checked_processes = []
+            for process, client in pairs:
+                if outages(process):
+                    client.silent_from_s = now
+                    client.silent_until_s = now + self.OUTAGE_S
+                if checked(process):
+                    checked_processes.append(process)
+            await asyncio.sleep(self.OUTAGE_S + delay_s)
+            return await region.time_to_remove(checked_processes)
+
+        return run_region(scenario)
+
+    # Guards against requests to a server that has left for 3 s and more: one
+    # reader that regained the store made its whole region keep the removed
+    # server for 2 s, and the readers until their next watch ended.
+    def test_instances_without_an_outage_drop_the_server(self):
+        def is_first_reader(process):
+            return process.readers.rank() in (0, 1)
+
+        times_s = [
+            self.slowest_removal(
+                delay_s,
+                outages=is_first_reader,
+                checked=lambda process: not is_first_reader(process),
+            )
+            for delay_s in (0.2, 0.6, 1.0, 1.4)
+        ]
+        assert max(times_s) <= DRAIN_TIMEOUT_S
+
+    # Guards against a lapsed entry that is used until the end of a watch.
+    def test_instances_with_an_outage_drop_it_in_time(self):
+        """They count as reaching the store from 3 s after its return on."""
+
+        def is_first(process):
+            return process.readers.rank() < 9
+
+        delays_s = [0.2, 0.6, 1.0, 1.4, 2.0]
+        times_s = [
+            self.slowest_removal(
+                delay_s, outages=is_first, checked=lambda process: True
+            )
+            for delay_s in delays_s
+        ]
+        late_s = [
+            time_s - max(DRAIN_TIMEOUT_S, 3.0 - delay_s)
+            for time_s, delay_s in zip(times_s, delays_s, strict=True)
+        ]
+        assert max(late_s) <= 0
+
+    def test_servers_that_lapse_in_an_outage_of_all_stay_in_use(self):
+        async def scenario(region):
+            now = region.loop.time()
+            for client in region.clients:
+                client.silent_from_s = now
+                client.silent_until_s = now + self.OUTAGE_S
+            await asyncio.sleep(self.OUTAGE_S - 0.5)
+            region.store.remove('s1')
+            await asyncio.sleep(0.5 + 2.0)
+            used = [region.uses_server(p) for p in region.processes]
+            region.store.put(make_registration('s1'))
+            await asyncio.sleep(3.0)
+            return used + [region.uses_server(p) for p in region.processes]
+
+        assert all(run_region(scenario))
--- a/libs/citronshelf_instance/tests/virtual_fleet.py
+++ b/libs/citronshelf_instance/tests/virtual_fleet.py
@@ -171,7 +171,16 @@
         """Write a registration."""
         self.revision += 1
         self.entries[registration.server_id] = registration
-        self.history.append((self.revision, registration))
+        self.history.append(
+            (self.revision, registration.server_id, registration)
+        )
+        self.wake_watches()
+
+    def remove(self, server_id):
+        """Remove a registration."""
+        self.revision += 1
+        del self.entries[server_id]
+        self.history.append((self.revision, server_id, None))
         self.wake_watches()
 
     def publish(self, **changes):
@@ -194,8 +203,8 @@
     def changes(self, after):
         """Return the changes after a revision."""
         changed = {
-            registration.server_id: registration
-            for revision, registration in self.history
+            server_id: registration
+            for revision, server_id, registration in self.history
             if revision > after
         }
         is_newer = self.published.revision > after
@@ -210,7 +219,9 @@
     Attributes
     ----------
     silent_from_s : float
-        Calls get no response from this time on.
+        Calls get no response from this time on,
+    silent_until_s : float
+        until this one.
     old_calls_end_s : float
         Calls that began before this time get no response.
     losses : int
@@ -222,6 +233,7 @@
         self.store = store
         self.loop = asyncio.get_running_loop()
         self.silent_from_s = float('inf')
+        self.silent_until_s = float('inf')
         self.old_calls_end_s = float('-inf')
         self.losses = 0
         self.calls = 0
@@ -259,4 +271,5 @@
     def is_silent_to(self, began_s):
         """Return whether a call that began then gets no response."""
         is_old = began_s < self.old_calls_end_s <= self.loop.time()
-        return is_old or self.loop.time() >= self.silent_from_s
+        now = self.loop.time()
+        return is_old or self.silent_from_s <= now < self.silent_until_s
