instance: keep missing entries only if nobody confirmed the list

Cause: entries that lapse in an outage of the store stay in use for 2 s after its return. When the store turned away a part of the instances, each of their readers that came back told its region to do so, up to 3 s after the return and for another 2 s: instances without any outage kept servers that had left without a drain state. Readers even used them until their next watch ended, since only the loop of the reader dropped them. Class of fault: a rule for an outage of all, applied by one who cannot tell it from an outage of his own.

An entry can lapse only after three missed heartbeats, 4.5 s. Missing entries are now kept only by an instance whose list was confirmed by nobody for 2.5 s before the store answered it again; a copied state says how long ago it was confirmed, so that an instance that was turned away alone knows from the others that the store was not away. The end of the grace period is checked at each choice and immediately before sending.

--- a/libs/citronshelf_instance/citronshelf_instance/configuration.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration.py
@@ -144,6 +144,9 @@
     unread_configuration : int
         Revision of a newer configuration that cannot be read; 0 if there is
         none.
+    confirmed_ago_s : float or None
+        Seconds since the store showed the sender that this was the newest
+        state; None if it never did, or in a response of the store itself.
     """
 
     revision: int
@@ -152,6 +155,7 @@
     lapsed: tuple[Registration, ...] = ()
     recovered_ago_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
     unread_configuration: Annotated[int, msgspec.Meta(ge=0)] = 0
+    confirmed_ago_s: Annotated[float, msgspec.Meta(ge=0)] | None = None
 
 
 class Changes(NamedTuple):
--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -183,7 +183,8 @@
         known = self.forwarder.placer.directory.servers.get(
             self.server.server_id
         )
-        return known is self.server and not known.registration.draining
+        now = self.forwarder.clock()
+        return known is self.server and known.accepts_work(now)
 
     def is_sent(self) -> bool:
         """Return whether the server may have received the request."""
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -340,8 +340,9 @@
 
     def handle_report(self, message: peer_messages.ReaderReport) -> None:
         """Apply the report of a reader of this region."""
-        if message.recovered_ago_s is not None:
-            self.state.directory.record_store_recovery(message.recovered_ago_s)
+        directory = self.state.directory
+        if message.recovered_ago_s is not None and directory.may_have_lapsed():
+            directory.record_store_recovery(message.recovered_ago_s)
         self.state.apply_delta(message.delta, message.confirmed_ago_s)
         self.on_peer_revision(max(message.revision, message.delta.after))
 
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -74,8 +74,7 @@
     ) -> None:
         """Replace the state with a snapshot unless the snapshot is older.
 
-        The configuration of an older one is applied while there is none. Only
-        a snapshot from the store confirms the state.
+        The configuration of an older one is applied while there is none.
         """
         if snapshot.revision < self.revision:
             if self.configuration is None and snapshot.configuration:
@@ -85,6 +84,8 @@
         self.revision = self.unchanged_since = snapshot.revision
         if source == STORE_SOURCE:
             self.directory.confirm(confirmed_ago_s)
+        elif snapshot.confirmed_ago_s is not None:
+            self.directory.confirm(snapshot.confirmed_ago_s)
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration, source)
         self.record_unread(snapshot.unread_configuration)
@@ -203,6 +204,7 @@
             self.directory.lapsed(),
             self.directory.recovered_ago_s(),
             self.unread_revision if self.lacks_configuration() else 0,
+            self.age_s(),
         )
 
     async def wait_routable(self, wait_s: float) -> bool:
--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -13,6 +13,9 @@
 # The platform guarantees that entries that expired during an outage of the
 # store return within this time after it; their servers stay in use until then.
 LAPSED_GRACE_S = 2.0
+# An entry lapses after three missed heartbeats, 1.5 s apart. While the list is
+# confirmed more often than this, a missing entry means that its server left.
+MIN_LAPSE_AGE_S = 2.5
 # After a failed connection, this instance avoids the server for a time that
 # doubles with each further failure.
 INITIAL_BACKOFF_S = 0.25
@@ -70,6 +73,13 @@
         self.suspected = False
         self.last_used_s = now
 
+    def accepts_work(self, now: float) -> bool:
+        """Return whether this instance may send it a request."""
+        is_gone = (
+            self.lapsed_until_s is not None and now >= self.lapsed_until_s
+        )
+        return not (self.registration.draining or is_gone)
+
     @property
     def server_id(self) -> str:
         """Return the identity of the server."""
@@ -145,6 +155,15 @@
             self.store_recovered_s, self.clock() - ago_s
         )
 
+    def may_have_lapsed(self) -> bool:
+        """Return whether entries may have lapsed since the last confirmation.
+
+        A store that was away for this instance alone has confirmed the list
+        to others, which reported it.
+        """
+        age_s = self.age_s()
+        return age_s is None or age_s >= MIN_LAPSE_AGE_S
+
     def recovered_ago_s(self) -> float | None:
         """Return the seconds since the end of an outage of the store.
 
@@ -274,10 +293,11 @@
 
     def usable(self, service: str) -> list[RegisteredServer]:
         """Return the servers of a service that may get new work."""
+        now = self.clock()
         return [
             state
             for state in self.by_service.get(service, ())
-            if not state.registration.draining
+            if state.accepts_work(now)
         ]
 
     def record(
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -56,8 +56,6 @@
 CONFIRMATION_WAIT_S = 0.8
 # Changes of more registrations are read from the store by every instance.
 MAX_DELTA_REGISTRATIONS = 64
-# Registrations may have lapsed in an outage of at least this length.
-MIN_LAPSE_OUTAGE_S = 1.0
 
 
 class ReadFault(enum.StrEnum):
@@ -378,13 +376,13 @@
     def record_response(self) -> None:
         """Record a response from the store; log the end of an outage.
 
-        After an outage of ``MIN_LAPSE_OUTAGE_S`` or more, a grace period for
-        lapsed registrations starts.
+        If registrations may have lapsed meanwhile, a grace period for them
+        starts.
         """
         now = self.clock()
         if not self.is_reachable:
             outage_s = now - self.unreachable_since_s
-            if outage_s >= MIN_LAPSE_OUTAGE_S:
+            if self.state.directory.may_have_lapsed():
                 self.state.directory.record_store_recovery()
             log_events.log_event(
                 LOG,
