instance: a copied state does not take back that a server drains

A server that drains at the receiver became ready again for up to 2 s, if the sender had missed that it drains. Entries that lapsed now only add unknown servers.

--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -197,7 +197,9 @@
             self.record_store_recovery(snapshot.recovered_ago_s)
         listed = {entry.server_id: entry for entry in snapshot.registrations}
         for registration in snapshot.lapsed:
-            self.add_or_update(registration)
+            # A known entry is at least as new: it may be draining.
+            if registration.server_id not in self.servers:
+                self.add_or_update(registration)
         for server_id in [s for s in self.servers if s not in listed]:
             self.remove(server_id)
         for registration in listed.values():
--- a/libs/citronshelf_instance/tests/test_registrations.py
+++ b/libs/citronshelf_instance/tests/test_registrations.py
@@ -79,6 +79,17 @@
         apply_change(directory, 2, s1=None)
         assert directory.servers == {}
 
+    # Guards against a copied state that takes back that a server drains.
+    def test_lapsed_entry_of_a_copy_does_not_replace_a_draining_one(
+        self, clock
+    ):
+        directory = make_directory(clock, make_registration(draining=True))
+        copied = configuration.Snapshot(
+            2, None, (), (make_registration(),), recovered_ago_s=0.5
+        )
+        directory.replace(copied)
+        assert usable(directory) == []
+
 
 class TestBackoff:
     """An unreachable server is avoided for an increasing time."""
