instance: heed what servers announce in their responses

server_announcements reads both from a response that is proved to be the expected server's; the directory keeps them for the incarnation, each choice and the check before sending ask it, and the region is told of a leaving server (ServerLeaving).

--- a/libs/citronshelf_common/citronshelf_common/outcomes.py
+++ b/libs/citronshelf_common/citronshelf_common/outcomes.py
@@ -22,9 +22,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NotRun:
-    """No backend server executed any part of the request."""
+    """No backend server executed any part of the request.
+
+    Attributes
+    ----------
+    reason : str
+    retry_after_s : float or None
+        Seconds after which a server may accept it; None if unknown.
+    """
 
     reason: str
+    retry_after_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/libs/citronshelf_instance/citronshelf_instance/caller_request.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_request.py
@@ -13,6 +13,8 @@
 from citronshelf_instance import routing
 
 REQUEST_ID_BYTES = 8
+# A server rejects a request that expects another server with this status.
+MISDIRECTED_STATUS = 421
 MAX_DEADLINE_MS = 3_600_000
 DEFAULT_DEADLINE_S = 30.0
 # Ids of heads that were not validated are logged only if they match this.
@@ -38,6 +40,8 @@
         Set by a server as proof that it did not run the request.
     signature : str
         Set by a server on all of its responses.
+    leaving : str
+        Set to 1 by a server that wants no new work.
     """
 
     request_id: str = 'X-Request-Id'
@@ -45,6 +49,7 @@
     expected_server: str = 'X-Expected-Server'
     not_run: str = 'X-Not-Run'
     signature: str = 'X-Signature'
+    leaving: str = 'X-Leaving'
 
 
 class RequestHead(NamedTuple):
--- a/libs/citronshelf_instance/citronshelf_instance/caller_response.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_response.py
@@ -1,6 +1,7 @@
 """Responses to callers and their encoding."""
 
 import json
+import random
 from typing import NamedTuple
 
 from tornado import httputil
@@ -16,6 +17,7 @@
 # another server to become free, short compared to a target time of half a
 # second.
 RETRY_AFTER_S = 0.15
+RETURN_SPREAD = 0.2
 REPLACED_HEADERS = frozenset({'content-length'})
 TIMEOUT_REASON = 'timeout'
 # A body up to this size is copied behind the head, so that one packet can hold
@@ -56,7 +58,9 @@
             pairs = headers.end_to_end(outcome.headers, REPLACED_HEADERS)
             return CallerResponse(outcome.status, pairs, outcome.body)
         case outcomes.NotRun():
-            response = error_response(503, 'not-run', outcome.reason)
+            response = error_response(
+                503, 'not-run', outcome.reason, outcome.retry_after_s
+            )
         case _:
             status = 504 if outcome.reason == TIMEOUT_REASON else 502
             response = error_response(status, 'unknown', outcome.reason)
@@ -72,15 +76,26 @@
     return response._replace(closes_connection=closes_connection)
 
 
-def error_response(status: int, outcome: str, reason: str) -> CallerResponse:
+def error_response(
+    status: int,
+    outcome: str,
+    reason: str,
+    retry_after_s: float | None = None,
+) -> CallerResponse:
     """Return a response of this instance with a JSON body.
 
-    A response with status 503 has a ``Retry-After`` header.
+    A response with status 503 has a ``Retry-After`` header: at least
+    ``RETRY_AFTER_S``, and a random time more than ``retry_after_s``, so that
+    callers do not all return at once.
     """
     body = json.dumps({'outcome': outcome, 'reason': reason}).encode() + b'\n'
     pairs = (('Content-Type', 'application/json'),)
     if status == 503:
-        pairs = (*pairs, ('Retry-After', str(RETRY_AFTER_S)))
+        wait_s = RETRY_AFTER_S
+        if retry_after_s is not None:
+            spread_s = random.uniform(0, RETURN_SPREAD * retry_after_s)
+            wait_s = max(wait_s, retry_after_s + spread_s)
+        pairs = (*pairs, ('Retry-After', str(round(wait_s, 3))))
     return CallerResponse(status, pairs, body)
 
 
--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -158,6 +158,7 @@
             budget_settings=make_budget_settings(self.table),
             instances=self.members.peak_count,
             observe=self.peers.record_observation,
+            report_leaving=self.peers.report_leaving,
             metrics=self.metrics,
             clock=clock,
             max_response_bytes=min(
@@ -217,6 +218,16 @@
             'Registered servers',
             lambda: len(self.directory.servers),
         )
+        add(
+            'servers_leaving',
+            'Servers that announced in a response that they leave',
+            self.directory.count_leaving,
+        )
+        add(
+            'servers_waiting',
+            'Servers that want no request of this instance for some time',
+            self.directory.count_waiting,
+        )
         add('instances', 'Instances known alive', self.members.count)
         add('store_calls', 'Calls to the store', lambda: self.reader.calls)
         add(
--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -14,6 +14,7 @@
 from citronshelf_instance import events
 from citronshelf_instance import evidence
 from citronshelf_instance import registrations
+from citronshelf_instance import server_announcements
 
 LOG = logging.getLogger(__name__)
 
@@ -25,7 +26,6 @@
 # response with one of them is never passed on. The work counts as not run only
 # if the response has the server's not-run header or status 421.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-MISDIRECTED_STATUS = 421
 MAX_STATUS = 599
 
 
@@ -176,7 +176,8 @@
         """Return whether the server may still get work.
 
         The client calls this just before sending: since it was chosen, the
-        server may have left or begun to drain, or the request may have ended.
+        server may have left, begun to drain or asked for time, or the request
+        may have ended.
         """
         if self.aborted:
             return False
@@ -195,11 +196,39 @@
         head = await self.exchange.wait_head()
         if isinstance(head, classify.Failure):
             return self.classify_failure(head)
+        self.handle_announcements(head)
         body = await self.exchange.read_whole()
         if isinstance(body, classify.Failure):
             return self.classify_failure(body)
         return self.classify_response(head, body)
 
+    def handle_announcements(self, head: exchange.ResponseHead) -> None:
+        """Apply what the server announces in the head of its response."""
+        request_id = self.request.head.request_id
+        forwarder = self.forwarder
+        directory = forwarder.placer.directory
+        for announcement in server_announcements.read_announcements(
+            head, forwarder.names, request_id
+        ):
+            match announcement:
+                case server_announcements.Leaving():
+                    if directory.record_leaving(self.server, request_id):
+                        forwarder.metrics.count('announcements', 'leaving')
+                        forwarder.report_leaving(self.server)
+                case server_announcements.RetryLater():
+                    forwarder.metrics.count('announcements', 'retry-later')
+                    directory.record_retry_later(
+                        self.server,
+                        announcement.seconds,
+                        forwarder.placer.rng,
+                        request_id,
+                    )
+                case server_announcements.InvalidRetryAfter():
+                    forwarder.metrics.count('announcements', 'invalid')
+                    directory.record_invalid_time(
+                        self.server, announcement.text, request_id
+                    )
+
     def classify_failure(self, failure: classify.Failure) -> Result:
         """Return the result of a failed exchange."""
         if failure.execution is classify.ExecutionStatus.NOT_RUN:
@@ -220,7 +249,7 @@
             return NotRunResult(
                 reason=f'refused-{head.status}', refused_by_server=True
             )
-        if head.status == MISDIRECTED_STATUS:
+        if head.status == caller_request.MISDIRECTED_STATUS:
             return NotRunResult(
                 reason='another-server', refused_by_server=True
             )
--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -96,6 +96,24 @@
     logging.WARNING,
     'memory for responses is full; the largest one is ended',
 )
+SERVER_LEAVING = Event(
+    1922,
+    'server-leaving',
+    logging.INFO,
+    'server announced in a response that it is leaving',
+)
+SERVER_ASKED_FOR_TIME = Event(
+    1923,
+    'server-asked-for-time',
+    logging.INFO,
+    'server refused a request and wants none for some time',
+)
+RETRY_TIME_INVALID = Event(
+    1924,
+    'retry-time-invalid',
+    logging.WARNING,
+    'server asked for a time that is no number of seconds; ignoring it',
+)
 PEER_FOUND = Event(1930, 'peer-found', logging.INFO, 'instance joined')
 PEER_LOST = Event(1931, 'peer-lost', logging.INFO, 'instance left or expired')
 PEER_MESSAGE_REFUSED = Event(
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -66,6 +66,8 @@
     metrics : InstanceMetrics
     clock : callable
         Monotonic seconds.
+    report_leaving : callable
+        Called with a ``RegisteredServer`` that announced that it leaves.
     max_response_bytes : int
         Larger responses are not passed on.
 
@@ -87,8 +89,10 @@
         observe,
         metrics,
         clock,
+        report_leaving=lambda server: None,
         max_response_bytes: int = dispatch.MAX_RESPONSE_BYTES,
     ):
+        self.report_leaving = report_leaving
         self.max_response_bytes = max_response_bytes
         self.placer = placer
         self.client = client
@@ -386,7 +390,11 @@
             return self.failed_response
         if self.unknown_reason:
             return outcomes.Unknown(reason=self.unknown_reason)
-        return outcomes.NotRun(reason=self.not_run_reason)
+        directory = self.forwarder.placer.directory
+        return outcomes.NotRun(
+            reason=self.not_run_reason,
+            retry_after_s=directory.retry_after_s(self.service),
+        )
 
     def cancel(self) -> None:
         """Cancel running dispatches, which closes their connections.
--- a/libs/citronshelf_instance/citronshelf_instance/metrics.py
+++ b/libs/citronshelf_instance/citronshelf_instance/metrics.py
@@ -9,6 +9,7 @@
     'requests': 'Requests of callers, by status',
     'refusals': 'Requests refused without a dispatch, by status and reason',
     'dispatches': 'Dispatches to backend servers, by result',
+    'announcements': 'Announcements of servers in responses, by kind',
     'hedges': 'Second dispatches of requests whose answer is overdue',
     'responses_dropped': 'Responses ended because their memory was full',
     'repeats_denied': 'Repeats that the retry budget did not allow',
--- a/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
@@ -131,6 +131,22 @@
     confirmed_ago_s: AgeS | None = None
 
 
+class ServerLeaving(NamedTuple):
+    """Announces that a server told the sender that it is leaving.
+
+    Attributes
+    ----------
+    sender : Member
+    server_id : str
+    started_ms : int
+        Start time in its registration, which distinguishes incarnations.
+    """
+
+    sender: Member
+    server_id: Annotated[str, msgspec.Meta(max_length=200)]
+    started_ms: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class Leave(NamedTuple):
     """Announces that the sender stops."""
 
@@ -146,5 +162,6 @@
         StateCopy,
         Leave,
         ReaderReport,
+        ServerLeaving,
     )
 )
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -16,6 +16,7 @@
 from citronshelf_instance import peer_messages
 from citronshelf_instance import published
 from citronshelf_instance import reader_group
+from citronshelf_instance import registrations
 
 LOG = logging.getLogger(__name__)
 
@@ -322,6 +323,8 @@
                 self.record_revision(message, route)
             case peer_messages.ReaderReport():
                 self.handle_report(message)
+            case peer_messages.ServerLeaving():
+                self.handle_server_leaving(message)
             case peer_messages.FetchState():
                 self.send_state(message, route)
             case peer_messages.StateCopy():
@@ -443,6 +446,38 @@
         urgent = is_urgent(observation, shift)
         self.schedule_flush(URGENT_DELAY_S if urgent else EVIDENCE_DELAY_S)
 
+    def report_leaving(self, server: registrations.RegisteredServer) -> None:
+        """Tell instances of the region that a server announced its leaving.
+
+        At most ``MAX_EVIDENCE_PEERS`` random ones are told. The others learn
+        of it from a response of their own or from the store.
+        """
+        registration = server.registration
+        message = peer_messages.ServerLeaving(
+            self.own, registration.server_id, registration.started_ms
+        )
+        for peer in self.sample_region():
+            self.send(peer.member.address, message)
+
+    def handle_server_leaving(
+        self, message: peer_messages.ServerLeaving
+    ) -> None:
+        """Record a leaving server unless it has been started again."""
+        directory = self.state.directory
+        server = directory.servers.get(message.server_id)
+        if (
+            server is not None
+            and server.registration.started_ms == message.started_ms
+        ):
+            directory.record_leaving(server, '', message.sender.instance)
+
+    def sample_region(self) -> list[membership.KnownMember]:
+        """Return at most ``MAX_EVIDENCE_PEERS`` instances of the region."""
+        members = self.members.in_region()
+        if len(members) > MAX_EVIDENCE_PEERS:
+            return self.rng.sample(members, MAX_EVIDENCE_PEERS)
+        return members
+
     def schedule_flush(self, delay_s: float) -> None:
         """Schedule a flush after at most ``delay_s`` seconds."""
         loop = asyncio.get_running_loop()
@@ -466,13 +501,10 @@
             for pending in self.pending[: peer_messages.MAX_OBSERVATIONS]
         )
         del self.pending[: len(batch)]
-        local_members = self.members.in_region()
-        if len(local_members) > MAX_EVIDENCE_PEERS:
-            local_members = self.rng.sample(local_members, MAX_EVIDENCE_PEERS)
         message = peer_messages.Evidence(
             self.own, self.state.change_revision, batch
         )
-        for peer in local_members:
+        for peer in self.sample_region():
             self.send(peer.member.address, message)
         if self.pending:
             self.schedule_flush(0.0)
--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -1,6 +1,7 @@
 """Directory of the registered backend servers, by service."""
 
 import logging
+import random
 from typing import NamedTuple
 
 from citronshelf_common import events as log_events
@@ -23,6 +24,13 @@
 # A shed request, which a server refused without running it, shows that the
 # server's queue is full. Emptying the queue takes several times this long.
 SHED_BACKOFF_S = 0.3
+# Instances return to a server that asked for time after up to this much more,
+# as a share of the time, so that they do not all return at once.
+RETURN_SPREAD = 0.2
+MIN_RETURN_SPREAD_S = 0.2
+# Servers that are leaving are replaced by others; their registrations are
+# known after about this time.
+REPLACEMENT_S = 1.0
 # Failure probability from which a server is logged as suspected.
 SUSPECTED_PROBABILITY = 0.5
 
@@ -60,6 +68,13 @@
         Monotonic time of the newest observed request that this or another
         instance sent to it; at first, the time at which this instance learned
         of the server.
+    leaving : bool
+        The server announced in a response, to this or another instance, that
+        it wants no new work.
+    retry_at_s : float
+        Monotonic time before which it wants no request of this instance.
+    sent_invalid_time : bool
+        It was logged that it asked for a time that is no number of seconds.
     """
 
     def __init__(self, *, registration, now: float):
@@ -72,13 +87,20 @@
         self.lapsed_until_s: float | None = None
         self.suspected = False
         self.last_used_s = now
+        self.leaving = False
+        self.retry_at_s = 0.0
+        self.sent_invalid_time = False
 
-    def accepts_work(self, now: float) -> bool:
-        """Return whether this instance may send it a request."""
+    def is_leaving(self, now: float) -> bool:
+        """Return whether it drains, announced its leaving, or is gone."""
         is_gone = (
             self.lapsed_until_s is not None and now >= self.lapsed_until_s
         )
-        return not (self.registration.draining or is_gone)
+        return self.registration.draining or self.leaving or is_gone
+
+    def accepts_work(self, now: float) -> bool:
+        """Return whether this instance may send it a request."""
+        return not self.is_leaving(now) and now >= self.retry_at_s
 
     @property
     def server_id(self) -> str:
@@ -302,6 +324,93 @@
             if state.accepts_work(now)
         ]
 
+    def retry_after_s(self, service: str) -> float | None:
+        """Return when a service whose servers accept no work may do so.
+
+        In seconds; None if a server accepts work or none is registered.
+        """
+        servers = self.by_service.get(service, ())
+        now = self.clock()
+        if not servers or any(state.accepts_work(now) for state in servers):
+            return None
+        ends_s = [s.retry_at_s for s in servers if not s.is_leaving(now)]
+        return min(ends_s) - now if ends_s else REPLACEMENT_S
+
+    def record_leaving(
+        self, state: RegisteredServer, request_id: str, source: str = ''
+    ) -> bool:
+        """Record that a server announced that it leaves.
+
+        Returns False if that was known, or if its registration is no longer
+        that of this incarnation.
+
+        Parameters
+        ----------
+        state : RegisteredServer
+        request_id : str
+            Request whose response announced it; empty if a peer did.
+        source : str
+            Name of the peer that announced it.
+        """
+        if state.leaving or self.servers.get(state.server_id) is not state:
+            return False
+        state.leaving = True
+        log_events.log_event(
+            LOG,
+            events.SERVER_LEAVING,
+            server=state.server_id,
+            request_id=request_id,
+            source=source,
+        )
+        return True
+
+    def record_retry_later(
+        self,
+        state: RegisteredServer,
+        seconds: float,
+        rng: random.Random,
+        request_id: str,
+    ) -> None:
+        """Record that a server wants no request for some time.
+
+        A time that ends later is kept.
+        """
+        spread_s = max(MIN_RETURN_SPREAD_S, RETURN_SPREAD * seconds)
+        wait_s = seconds + rng.uniform(0, spread_s) if seconds > 0 else 0.0
+        state.retry_at_s = max(state.retry_at_s, self.clock() + wait_s)
+        log_events.log_event(
+            LOG,
+            events.SERVER_ASKED_FOR_TIME,
+            server=state.server_id,
+            request_id=request_id,
+            seconds=round(seconds, 3),
+            held_s=round(wait_s, 3),
+        )
+
+    def record_invalid_time(
+        self, state: RegisteredServer, text: str, request_id: str
+    ) -> None:
+        """Log a time that is no number of seconds, once for each server."""
+        if state.sent_invalid_time:
+            return
+        state.sent_invalid_time = True
+        log_events.log_event(
+            LOG,
+            events.RETRY_TIME_INVALID,
+            server=state.server_id,
+            request_id=request_id,
+            value=text[:40],
+        )
+
+    def count_leaving(self) -> int:
+        """Return how many servers announced in a response that they leave."""
+        return sum(state.leaving for state in self.servers.values())
+
+    def count_waiting(self) -> int:
+        """Return how many servers want no request of this instance now."""
+        now = self.clock()
+        return sum(now < state.retry_at_s for state in self.servers.values())
+
     def record(
         self, observation: evidence.Observation, source: str
     ) -> evidence.Shift | None:
