control: list rows of backend servers have forward port 0

The platform lists 0 as the forward port of backend servers.

The package's own tests had no forward port for backend servers but none; test_backend_server_has_no_forward_port has 0 as well.

--- a/libs/citronshelf_control/citronshelf_control/fleet_list.py
+++ b/libs/citronshelf_control/citronshelf_control/fleet_list.py
@@ -20,6 +20,8 @@
 MAX_ROWS = 100_000
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+# The platform lists 0 for backend servers, which have none.
+ForwardPort = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 IpText = Annotated[str, msgspec.Meta(pattern=r'^[0-9a-fA-F.:]{2,45}$')]
 
 
@@ -34,7 +36,7 @@
     zone: settings.Name
     state: Literal['live', 'leaving']
     pool: NotRequired[str | None]
-    forward_port: NotRequired[Port | None]
+    forward_port: NotRequired[ForwardPort | None]
 
 
 class FleetList(NamedTuple):
--- a/libs/citronshelf_control/tests/test_fleet_list.py
+++ b/libs/citronshelf_control/tests/test_fleet_list.py
@@ -65,6 +65,13 @@
         assert parsed.entries == ()
         assert len(parsed.faults) == 1
 
+    # Guards against a list without backend servers, all rows of which are
+    # ignored for a forward port that they do not have.
+    @pytest.mark.parametrize('port', [0, None])
+    def test_backend_server_has_no_forward_port(self, port):
+        parsed = parse({**BACKEND, 'forward_port': port}).ok
+        assert [s.server_id for s in parsed.servers] == ['mint-1']
+
     def test_list_that_is_no_array_of_rows_is_refused(self):
         assert fleet_list.parse_list(b'{"rows": []}').is_error()
         assert fleet_list.parse_list(b'[{"id": ').is_error()
