instance: heed Retry-After in a signed 503 without proof of not running

Found by reading the change once more: the users' rule speaks of any 503 with Retry-After, but a signed one without the header that proves that the request did not run was ignored, so that its server got requests in the time it had asked for. Cause: the header was asked for twice, in the proof that the expected server answered, where a signature will do as well, and again for the time. What such a response means for its request is unchanged: it may have run.

--- a/libs/citronshelf_instance/citronshelf_instance/server_announcements.py
+++ b/libs/citronshelf_instance/citronshelf_instance/server_announcements.py
@@ -53,9 +53,8 @@
     leaving = headers.first_of(head.headers, names.leaving.lower())
     if leaving == LEAVING_VALUE:
         found.append(Leaving())
-    refused = headers.first_of(head.headers, names.not_run.lower())
     text = headers.first_of(head.headers, RETRY_AFTER)
-    if head.status == UNAVAILABLE_STATUS and refused and text:
+    if head.status == UNAVAILABLE_STATUS and text:
         found.append(parse_retry_after(text))
     return found
 
