--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -38,6 +38,12 @@
     logging.ERROR,
     'internal error while handling a request',
 )
+RETRY_ALLOWED = Event(
+    1908,
+    'repeat-allowed',
+    logging.INFO,
+    'request is sent again; the retry budget pays for it',
+)
 CONFIGURATION_IN_FORCE = Event(
     1910,
     'configuration-in-force',
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -300,22 +300,21 @@
         return True
 
     def try_spend_retry(self) -> bool:
-        """Spend one retry from the retry budget; log and count a denial."""
+        """Spend one retry from the retry budget; log and count the result."""
         forwarder = self.forwarder
         budget = forwarder.budget_for(self.service)
-        if budget.try_spend(forwarder.instances()):
-            return True
+        is_allowed = budget.try_spend(forwarder.instances())
         log_events.log_event(
             LOG,
-            events.RETRY_DENIED,
+            events.RETRY_ALLOWED if is_allowed else events.RETRY_DENIED,
             request_id=self.request.head.request_id,
             service=self.service,
             repeats=len(budget.retries),
             fresh=len(budget.requests),
             instances=forwarder.instances(),
         )
-        forwarder.metrics.count('repeats_denied')
-        return False
+        forwarder.metrics.count('repeats' if is_allowed else 'repeats_denied')
+        return is_allowed
 
     def stall_timeout_s(self, server: registrations.RegisteredServer) -> float:
         """Return the seconds after which a server's response is overdue."""
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -284,6 +284,17 @@
         assert outcome.status == 500
         assert len(heads) == 1
 
+    @pytest.mark.parametrize(
+        'slack, name, repeats',
+        [(10.0, 'repeat-allowed', 1), (0.0, 'repeat-denied', 0)],
+    )
+    def test_each_decision_is_logged(self, caplog, slack, name, repeats):
+        with caplog.at_level(logging.INFO):
+            run_with(harness=Harness(ERROR, GOOD, slack=slack))
+        [record] = [r for r in caplog.records if hasattr(r, 'repeats')]
+        assert record.event_name == name
+        assert (record.service, record.repeats) == ('ledger', repeats)
+
     def test_failed_connection_does_not_count_as_dispatch(self):
         closed = make_registration(
             'closed', address=fleet.Address('127.0.0.1', 1)
