instance: reproduce repeats beyond the budget of the fleet

budget_model.py counts as the rule of the users does: the requests of that window, of the one before or of the one half a window before. No logic is changed.

--- /dev/null
+++ b/libs/citronshelf_instance/tests/budget_model.py
@@ -0,0 +1,88 @@
+"""Fleet of retry budgets without network, and the rule that it must keep."""
+
+import bisect
+import random
+
+from citronshelf_instance import retry_budget
+from instance_builders import FakeClock
+
+RATIO = 0.2
+SLACK = 58.0
+WINDOW_S = 10.0
+
+
+class FleetModel:
+    """Instances that get requests and repeat those that a server refused.
+
+    Parameters
+    ----------
+    instances : int
+    seed : int
+    slack : float
+
+    Attributes
+    ----------
+    known : list of int
+        How many instances each one knows, itself included.
+    request_times_s, repeat_times_s : list of float
+    """
+
+    def __init__(self, instances, *, seed=1, slack=SLACK):
+        self.slack = slack
+        self.clock = FakeClock()
+        self.rng = random.Random(seed)
+        self.known = [instances] * instances
+        self.budgets = [None] * instances
+        self.request_times_s = []
+        self.repeat_times_s = []
+        for number in range(instances):
+            self.restart(number)
+
+    def restart(self, number):
+        """Start an instance, in place of its previous process if any."""
+        self.budgets[number] = retry_budget.RetryBudget(
+            ratio=RATIO,
+            slack=self.slack,
+            window_s=WINDOW_S,
+            slack_from_s=self.clock.now + WINDOW_S,
+            clock=self.clock,
+        )
+
+    def request(self, number, *, refused):
+        """Let an instance get a request; repeat it if it is refused."""
+        self.request_times_s.append(self.clock.now)
+        self.budgets[number].record_request()
+        if refused and self.budgets[number].try_spend(self.known[number]):
+            self.repeat_times_s.append(self.clock.now)
+
+    def run(self, numbers, *, rate, seconds, refused_share):
+        """Send requests to random instances of ``numbers`` for a time."""
+        for _ in range(round(rate * seconds)):
+            self.clock.advance(1 / rate)
+            self.request(
+                self.rng.choice(numbers),
+                refused=self.rng.random() < refused_share,
+            )
+
+    def largest_excess(self):
+        """Return the most repeats above the allowed ones in any window."""
+        return max(map(self.excess_from, self.repeat_times_s), default=0.0)
+
+    def excess_from(self, begin_s):
+        """Return how many repeats too many a window has from a time on.
+
+        The requests are those of that window, of the one before it or of the
+        one that begins half a window earlier, whichever has most.
+        """
+        requests = max(
+            count_between(self.request_times_s, begin_s - back_s)
+            for back_s in (0.0, WINDOW_S / 2, WINDOW_S)
+        )
+        repeats = count_between(self.repeat_times_s, begin_s)
+        return repeats - (RATIO * requests + self.slack)
+
+
+def count_between(times_s, begin_s):
+    """Return how many of the sorted times lie in the window from a time."""
+    end = bisect.bisect_left(times_s, begin_s + WINDOW_S)
+    return end - bisect.bisect_left(times_s, begin_s)
--- a/libs/citronshelf_instance/tests/test_retry_budget.py
+++ b/libs/citronshelf_instance/tests/test_retry_budget.py
@@ -4,7 +4,9 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+import pytest
 
+import budget_model
 from citronshelf_instance import retry_budget
 from instance_builders import FakeClock
 
@@ -87,3 +89,61 @@
                     request_times_s, begin
                 )
                 assert in_window <= 0.2 * requests + slack
+
+
+class TestFleet:
+    """The sum over the fleet holds whoever an instance knows."""
+
+    # Guards against an instance that starts cut off, knows only itself and
+    # takes the slack of the whole fleet.
+    def test_starts_while_cut_off_spend_no_more_than_the_fleet_may(self):
+        model = budget_model.FleetModel(36)
+        everyone = range(36)
+        model.run(everyone, rate=60, seconds=15, refused_share=0.05)
+        for number in range(14):
+            model.restart(number)
+            model.known[number] = 1
+        for number in range(14, 36):
+            model.restart(number)
+            model.known[number] = 22
+        model.run(everyone, rate=60, seconds=12, refused_share=0.05)
+        model.run(everyone, rate=83, seconds=8, refused_share=0.9)
+        assert model.repeat_times_s
+        assert model.largest_excess() <= 0
+
+    # Guards against parts of a partitioned fleet that each take the whole.
+    @pytest.mark.parametrize('size', [18, 12, 6, 1])
+    def test_groups_that_do_not_know_each_other_keep_the_sum(self, size):
+        model = budget_model.FleetModel(36)
+        model.known = [size] * 36
+        model.run(range(36), rate=60, seconds=20, refused_share=0.0)
+        model.run(range(36), rate=83, seconds=20, refused_share=0.9)
+        assert model.repeat_times_s
+        assert model.largest_excess() <= 0
+
+    # Guards against two instances that spend at different times the repeats
+    # for the requests of the same callers.
+    @pytest.mark.parametrize('seconds', [1.0, 1.8, 3.0, 5.0])
+    def test_callers_that_move_do_not_pay_twice(self, seconds):
+        model = budget_model.FleetModel(36)
+        model.run(range(18), rate=120, seconds=20, refused_share=0.0)
+        model.run(range(18), rate=120, seconds=seconds, refused_share=1.0)
+        model.run(range(18, 36), rate=120, seconds=12, refused_share=1.0)
+        assert model.repeat_times_s
+        assert model.largest_excess() <= 0
+
+    @given(st.integers(0, 2**32))
+    def test_sum_holds_for_restarts_and_any_views(self, seed):
+        model = budget_model.FleetModel(6, seed=seed, slack=15.0)
+        rng = model.rng
+        for _ in range(20):
+            number = rng.randrange(6)
+            model.restart(number)
+            model.known[number] = rng.randint(1, 6)
+            model.run(
+                rng.sample(range(6), rng.randint(1, 6)),
+                rate=rng.choice([2, 8, 30]),
+                seconds=rng.uniform(0, 8),
+                refused_share=rng.choice([0.0, 0.1, 1.0, 1.0]),
+            )
+        assert model.largest_excess() <= 0
