instance: refuse late requests that may outlast the shutdown

What callers saw (report of another operator, reproduced here): requests that became complete late in the grace period of a planned stop were passed on and cut at its end, among them requests that must not be repeated.

Cause: after the listener has closed, requests behind a running one are dropped, but a request whose body ends late was handled, and so was one behind a response that had been begun as one that keeps the connection open.

Evidence: three tests in test_shutdown.py::TestLateRequests failed before: two callers got a closed connection without a response (GET and POST), and a second request was run 0.3 s after the listener had closed.

Why this works: once the listener is closed, a request is handled only if its deadline passes before the running requests are ended; any other gets 503 at once, which is true since it was never passed on. Ruled out: refusing every request from then on, since those that end in time are served today (test_caller_connection.py::TestOrder).

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -42,6 +42,7 @@
 # Limits until the first ones are known. They deny no request.
 DEFAULT_LIMITS = configuration.CallerLimits()
 LIMIT_STATUSES = frozenset({413, 431})
+SHUTTING_DOWN = request_head.RequestRefusal(503, 'shutting down')
 
 # Errors of the caller or its connection while a request is read.
 READ_ERRORS = (
@@ -266,9 +267,7 @@
             self.log_incomplete_request(fault)
             return None
         if read.is_error():
-            held.release()
-            self.refuse(read.error)
-            await self.pending.join()
+            await self.refuse_last(read.error, held)
             return None
         request = read.ok
         if not self.server.application.may_run_concurrently(request.head):
@@ -279,8 +278,21 @@
             # A response announces that the connection closes, so the caller
             # sends this request again.
             return None
+        if not self.server.is_time_for(request):
+            await self.refuse_last(SHUTTING_DOWN, held)
+            return None
         return request
 
+    async def refuse_last(
+        self,
+        refusal: request_head.RequestRefusal,
+        held: request_body.HeldBody,
+    ) -> None:
+        """Refuse the last request; wait until its response is written."""
+        held.release()
+        self.refuse(refusal)
+        await self.pending.join()
+
     def log_incomplete_request(self, fault: Exception) -> None:
         """Log a read error, unless the connection was idle."""
         if self.reading:
@@ -321,7 +333,7 @@
         )
 
     def refuse(self, refusal: request_head.RequestRefusal) -> None:
-        """Queue the response to an invalid request.
+        """Queue the response to a request that is not handled.
 
         The connection closes after it, so no further request is read.
         """
@@ -558,7 +570,10 @@
     draining : bool
         Each connection closes after the response to its last request.
     finishing : bool
-        A request behind a running one of its connection is not handled.
+        A request behind a running one of its connection is not handled, nor
+        one that may last longer than ``work_end_s``.
+    work_end_s : float
+        Monotonic time at which the running requests are ended.
     """
 
     def __init__(
@@ -577,6 +592,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.draining = False
         self.finishing = False
+        self.work_end_s = float('inf')
 
     async def handle_stream(self, stream, address) -> None:
         """Serve a connection unless there are too many; called by tornado."""
@@ -614,9 +630,21 @@
         finally:
             self.tasks.discard(task)
 
-    def finish(self) -> None:
-        """Stop listening and handle no requests behind running ones."""
+    def is_time_for(self, request: caller_request.CallerRequest) -> bool:
+        """Return whether a request will have ended before the shutdown."""
+        expires_s = request.arrived_s + request.head.timeout_s
+        return not self.finishing or expires_s <= self.work_end_s
+
+    def finish(self, work_end_s: float = float('inf')) -> None:
+        """Stop listening; handle only requests that are sure to end in time.
+
+        Parameters
+        ----------
+        work_end_s : float
+            Monotonic time at which the running requests will be ended.
+        """
         self.finishing = True
+        self.work_end_s = work_end_s
         self.stop()
         self.close_idle()
 
--- a/libs/citronshelf_instance/citronshelf_instance/shutdown.py
+++ b/libs/citronshelf_instance/citronshelf_instance/shutdown.py
@@ -31,8 +31,9 @@
 
     The instance already reports that it is not ready. New connections that the
     load balancer still directs here are accepted for ``accept_s``. After that,
-    the function returns when all requests have their responses. Requests that
-    still run near the end of ``grace_s`` are ended.
+    a request that may last too long is refused, and the function returns when
+    all requests have their responses. Requests that still run near the end of
+    ``grace_s`` are ended.
 
     Parameters
     ----------
@@ -46,7 +47,7 @@
     server.draining = True
     log('accepting', server)
     await asyncio.sleep(min(table['accept_s'], work_s))
-    server.finish()
+    server.finish(started_s + work_s)
     log('finishing', server)
 
     def is_finished() -> bool:
--- a/libs/citronshelf_instance/tests/test_shutdown.py
+++ b/libs/citronshelf_instance/tests/test_shutdown.py
@@ -4,7 +4,10 @@
 import contextlib
 import time
 
+import pytest
+
 from caller_harness import read_response
+from caller_harness import RepeatingApplication
 from caller_harness import request_bytes
 from caller_harness import ScriptedApplication
 from caller_harness import SHORT
@@ -125,6 +128,68 @@
         assert ended == [1]
 
 
+class TestLateRequests:
+    """Requests that become complete late in the grace period are not run."""
+
+    # Guards against requests that are passed on late in the grace period and
+    # cut at its end: their callers learn nothing, and must not repeat some.
+    @pytest.mark.parametrize('method', ['GET', 'POST'])
+    def test_request_whose_body_ends_late_is_refused(self, method):
+        request = request_bytes('/1', method, b'body', 'X-Request-Id: r1\r\n')
+
+        async def run():
+            async with ScriptedApplication({'/1': 9.0}, PATIENT) as app:
+                reader, writer = await app.connect()
+                writer.write(request[:-1])
+                ending = asyncio.create_task(
+                    shutdown.shut_down(
+                        app.server,
+                        {'accept_s': 0.2, 'grace_s': 1.2},
+                        app.server.end_requests,
+                    )
+                )
+                await asyncio.sleep(0.6)
+                writer.write(request[-1:])
+                head, _ = await read_response(reader)
+                rest = await reader.read()
+                writer.close()
+                await ending
+                return head, rest, app
+
+        head, rest, app = asyncio.run(run())
+        assert head.startswith('HTTP/1.1 503 ')
+        assert 'Connection: close' in head
+        assert (rest, app.started, app.refusals) == (b'', [], [(503, 'r1')])
+
+    # The same for a request that waits behind a large response which was begun
+    # as one that keeps the connection open.
+    def test_request_behind_a_response_in_progress_is_refused(self):
+        async def run():
+            app = RepeatingApplication(b'x' * 12_000_000)
+            async with app:
+                reader, writer = await app.connect()
+                writer.write(request_bytes('/1', extra='X-Request-Id: r1\r\n'))
+                await asyncio.sleep(0.1)
+                ending = asyncio.create_task(
+                    shutdown.shut_down(
+                        app.server,
+                        {'accept_s': 0.1, 'grace_s': 3.0},
+                        app.server.end_requests,
+                    )
+                )
+                await asyncio.sleep(0.3)
+                writer.write(request_bytes('/2', extra='X-Request-Id: r2\r\n'))
+                await read_response(reader)
+                with contextlib.suppress(asyncio.IncompleteReadError):
+                    head, _ = await read_response(reader)
+                    assert head.startswith('HTTP/1.1 503 ')
+                writer.close()
+                await ending
+                return len(app.request_bodies)
+
+        assert asyncio.run(run()) == 1
+
+
 class TestRequestsWithoutState:
     """Requests that wait for the first state end with a response."""
 
