instance: pay for each repeat with requests of its own

Cause: the budget's slack was divided by the members that an instance had ever known. One that starts cut off knows only itself and took the whole slack after its first window (hypothesis A). Besides, each instance kept to the ratio of its own last window, and instances that spend at different times use different windows (hypothesis C). The class of fault: a limit on a sum that holds only if every part knows all others.

The slack is not spent any more; settings have no retries.slack.

Why this works: the sum over the fleet has no term that depends on who knows whom.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -30,6 +30,7 @@
 from citronshelf_instance import reader_group
 from citronshelf_instance import registrations
 from citronshelf_instance import request_handler
+from citronshelf_instance import retry_budget
 from citronshelf_instance import settings
 from citronshelf_instance import shutdown
 from citronshelf_instance import store_reader
@@ -128,6 +129,9 @@
         self.peers.on_peer_revision = self.reader.handle_peer_revision
         self.peers.is_store_current = self.reader.is_current
         self.reader.on_unchanged = self.peers.send_report
+        self.budgets = retry_budget.RetryBudgets(
+            settings=make_budget_settings(table), clock=clock, rng=self.rng
+        )
         self.forwarder = self.make_forwarder(clock)
         self.handler = request_handler.RequestHandler(
             state=self.state,
@@ -155,8 +159,7 @@
             placer=placer,
             client=self.client,
             names=self.names,
-            budget_settings=make_budget_settings(self.table),
-            instances=self.members.peak_count,
+            budgets=self.budgets,
             observe=self.peers.record_observation,
             report_leaving=self.peers.report_leaving,
             metrics=self.metrics,
@@ -372,7 +375,7 @@
         """Apply seeds, retry budgets and distance costs from the settings."""
         seeds = self.table['peers']['seeds']
         self.peers.set_seeds([parse_address(text) for text in seeds])
-        self.forwarder.set_budget_settings(make_budget_settings(self.table))
+        self.budgets.set_settings(make_budget_settings(self.table))
         self.forwarder.placer.distances = make_distance_costs(self.table)
 
     def unready_reason(self) -> str:
@@ -402,12 +405,10 @@
 
 def make_budget_settings(
     table: settings.Settings,
-) -> forwarding.BudgetSettings:
+) -> retry_budget.BudgetSettings:
     """Return the settings of the retry budgets."""
     retries = table['retries']
-    return forwarding.BudgetSettings(
-        retries['ratio'], retries['slack'], retries['window_s']
-    )
+    return retry_budget.BudgetSettings(retries['ratio'], retries['window_s'])
 
 
 def own_member(table: settings.Settings) -> peer_messages.Member:
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from typing import NamedTuple
 
 from citronshelf_common import events as log_events
 from citronshelf_common import outcomes
@@ -33,23 +32,6 @@
 SHUTDOWN_REASON = 'shutdown'
 
 
-class BudgetSettings(NamedTuple):
-    """Settings of the fleet-wide retry budget of each service.
-
-    Attributes
-    ----------
-    ratio : float
-        Retries per new request.
-    slack : float
-        Retries beyond the ratio in each window.
-    window_s : float
-    """
-
-    ratio: float
-    slack: float
-    window_s: float
-
-
 class Forwarder:
     """Sends requests to backend servers.
 
@@ -58,9 +40,7 @@
     placer : Placer
     client : UpstreamClient
     names : HeaderNames
-    budget_settings : BudgetSettings
-    instances : callable
-        Returns how many instances share the budgets.
+    budgets : RetryBudgets
     observe : callable
         Called with each ``Observation``.
     metrics : InstanceMetrics
@@ -84,8 +64,7 @@
         placer: placement.Placer,
         client: upstream.UpstreamClient,
         names: caller_request.HeaderNames,
-        budget_settings: BudgetSettings,
-        instances,
+        budgets: retry_budget.RetryBudgets,
         observe,
         metrics,
         clock,
@@ -97,35 +76,11 @@
         self.placer = placer
         self.client = client
         self.names = names
-        self.budget_settings = budget_settings
-        self.instances = instances
+        self.budgets = budgets
         self.observe = observe
         self.metrics = metrics
         self.clock = clock
-        self.started_s = clock()
         self.ending = False
-        self.budgets: dict[str, retry_budget.RetryBudget] = {}
-
-    def set_budget_settings(self, budget_settings: BudgetSettings) -> None:
-        """Change the settings; retries already spent stay counted."""
-        self.budget_settings = budget_settings
-        for budget in self.budgets.values():
-            budget.ratio = budget_settings.ratio
-            budget.slack = budget_settings.slack
-            budget.window_s = budget_settings.window_s
-
-    def budget_for(self, service: str) -> retry_budget.RetryBudget:
-        """Return the retry budget of a service, created on first use."""
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = self.budgets[service] = retry_budget.RetryBudget(
-                ratio=self.budget_settings.ratio,
-                slack=self.budget_settings.slack,
-                window_s=self.budget_settings.window_s,
-                slack_from_s=self.started_s + self.budget_settings.window_s,
-                clock=self.clock,
-            )
-        return budget
 
     async def run(
         self,
@@ -138,7 +93,7 @@
         are still running at the end are cancelled. While the instance ends, a
         cancelled request has an outcome as well.
         """
-        self.budget_for(routed.service).record_request()
+        self.budgets.get(routed.service).record_request()
         running = RunningRequest(
             forwarder=self, request=request, routed=routed
         )
@@ -302,8 +257,8 @@
     def try_spend_retry(self) -> bool:
         """Spend one retry from the retry budget; log and count the result."""
         forwarder = self.forwarder
-        budget = forwarder.budget_for(self.service)
-        is_allowed = budget.try_spend(forwarder.instances())
+        budget = forwarder.budgets.get(self.service)
+        is_allowed = budget.try_spend()
         log_events.log_event(
             LOG,
             events.RETRY_ALLOWED if is_allowed else events.RETRY_DENIED,
@@ -311,7 +266,7 @@
             service=self.service,
             repeats=len(budget.retries),
             fresh=len(budget.requests),
-            instances=forwarder.instances(),
+            credits=len(budget.expiries_s),
         )
         forwarder.metrics.count('repeats' if is_allowed else 'repeats_denied')
         return is_allowed
--- a/libs/citronshelf_instance/citronshelf_instance/membership.py
+++ b/libs/citronshelf_instance/citronshelf_instance/membership.py
@@ -53,7 +53,6 @@
         self.clock = clock
         self.rng: random.Random = rng
         self.known: dict[str, KnownMember] = {}
-        self.peak = 1
 
     def record_message(self, member: peer_messages.Member) -> bool:
         """Record a direct message; return whether its sender is new."""
@@ -80,7 +79,6 @@
             self.known[member.instance] = KnownMember(
                 member=member, last_received_s=last_received_s
             )
-            self.peak = max(self.peak, self.count())
             self.log(events.PEER_FOUND, member)
             return True
         if last_received_s <= known.last_received_s:
@@ -132,14 +130,6 @@
         """Return the number of instances, this one included."""
         return len(self.known) + 1
 
-    def peak_count(self) -> int:
-        """Return the highest number of instances known at one time.
-
-        Shared budgets are divided by it, since an instance that restarts
-        spends its part again.
-        """
-        return self.peak
-
     def in_region(self) -> list[KnownMember]:
         """Return the other instances of this region."""
         region = self.own.location.region
--- a/libs/citronshelf_instance/citronshelf_instance/retry_budget.py
+++ b/libs/citronshelf_instance/citronshelf_instance/retry_budget.py
@@ -1,79 +1,141 @@
-"""Retry budget, as a share of the new requests."""
+"""Retry budgets, paid for by the requests of callers."""
 
+import bisect
 import collections
+import random
+from typing import NamedTuple
 
-# Parts of the budget that are spent. The rest covers instances that join or
-# restart and requests that cross the boundary of a window.
-USABLE_RATIO_SHARE = 0.9
-USABLE_SLACK_SHARE = 0.8
+# A credit that no retry needs is lost after this share of a window.
+CREDIT_LIFE_SHARE = 0.25
+# Part of the ratio that is spent. The rest covers retries that reach their
+# servers in a later window than the one that they were counted in.
+USABLE_RATIO_SHARE = 0.95
 
 
-class RetryBudget:
-    """This instance's part of the fleet's retry budget for one service.
-
-    In any window, the fleet may retry ``ratio`` of its new requests and
-    ``slack`` more. Every instance keeps to the ratio of its own requests and
-    to an equal part of the slack, so that the total holds even while instances
-    cannot reach each other. The slack counts only after the first window of a
-    process, since its previous incarnation may have spent its part.
+class BudgetSettings(NamedTuple):
+    """Settings of the fleet-wide retry budget of each service.
 
-    Parameters
+    Attributes
     ----------
     ratio : float
         Retries per new request.
-    slack : float
-        Retries of the whole fleet in a window beyond the ratio.
     window_s : float
-    slack_from_s : float
-        Monotonic time from which the slack counts.
+        Length of the windows in which the ratio must hold.
+    """
+
+    ratio: float
+    window_s: float
+
+    def credit_life_s(self) -> float:
+        """Return how long a credit may be spent, in seconds."""
+        return CREDIT_LIFE_SHARE * self.window_s
+
+    def credits_per_request(self) -> float:
+        """Return the credits that each request earns.
+
+        A window can spend the credits of its own requests and of those in one
+        ``credit_life_s`` before it.
+        """
+        return USABLE_RATIO_SHARE * self.ratio / (1 + CREDIT_LIFE_SHARE)
+
+
+class RetryBudget:
+    """Retry credits of this instance for one service.
+
+    In any window, the fleet may retry ``ratio`` of its new requests. Each
+    request earns a part of a credit on the instance that got it, and each
+    retry costs one that was earned recently. No two retries are paid for by
+    the same request, so the total over the fleet holds without any knowledge
+    of other instances: while they cannot reach each other, restart, or hand
+    over their callers.
+
+    Parameters
+    ----------
+    settings : BudgetSettings
     clock : callable
         Monotonic seconds.
+    rng : random.Random
+
+    Attributes
+    ----------
+    earned : float
+        Part of the next credit.
+    expiries_s : list of float
+        Monotonic times at which the credits expire, sorted.
+    requests, retries : collections.deque of float
+        Monotonic times within the last window, for logs.
     """
 
-    def __init__(
-        self,
-        *,
-        ratio: float,
-        slack: float,
-        window_s: float,
-        slack_from_s: float,
-        clock,
-    ):
-        self.ratio = ratio
-        self.slack = slack
-        self.window_s = window_s
+    def __init__(self, *, settings: BudgetSettings, clock, rng: random.Random):
+        self.settings = settings
         self.clock = clock
-        self.slack_from_s = slack_from_s
+        # Instances with few requests, and those that restart often, would
+        # otherwise all lose the part that they have not completed.
+        self.earned = rng.random()
+        self.expiries_s: list[float] = []
         self.requests: collections.deque[float] = collections.deque()
         self.retries: collections.deque[float] = collections.deque()
 
     def record_request(self) -> None:
-        """Record a new request of a caller."""
+        """Record a new request of a caller, which earns a part of a credit."""
         now = self.clock()
-        expire(self.requests, now - self.window_s)
+        self.expire(now)
         self.requests.append(now)
+        self.earned += self.settings.credits_per_request()
+        while self.earned >= 1:
+            self.earned -= 1
+            self.add_credit(now + self.settings.credit_life_s())
 
-    def try_spend(self, instances: int) -> bool:
-        """Spend one retry; return False if the budget is exhausted.
+    def add_credit(self, expires_s: float) -> None:
+        """Add a credit that may be spent before a monotonic time."""
+        bisect.insort(self.expiries_s, expires_s)
 
-        Parameters
-        ----------
-        instances : int
-            Instances that share the slack, including this one.
-        """
+    def try_spend(self) -> bool:
+        """Spend one credit on a retry; return False if there is none."""
         now = self.clock()
-        expire(self.requests, now - self.window_s)
-        expire(self.retries, now - self.window_s)
-        allowed = USABLE_RATIO_SHARE * self.ratio * len(self.requests)
-        if now >= self.slack_from_s:
-            allowed += USABLE_SLACK_SHARE * self.slack / max(1, instances)
-        if len(self.retries) + 1 > allowed:
+        self.expire(now)
+        if not self.expiries_s:
             return False
+        del self.expiries_s[0]
         self.retries.append(now)
         return True
 
+    def expire(self, now: float) -> None:
+        """Drop expired credits and the times before the last window."""
+        del self.expiries_s[: bisect.bisect_right(self.expiries_s, now)]
+        for times_s in (self.requests, self.retries):
+            while times_s and times_s[0] < now - self.settings.window_s:
+                times_s.popleft()
+
+
+class RetryBudgets:
+    """Retry budgets by service.
+
+    Parameters
+    ----------
+    settings : BudgetSettings
+    clock : callable
+        Monotonic seconds.
+    rng : random.Random
+    """
+
+    def __init__(self, *, settings: BudgetSettings, clock, rng: random.Random):
+        self.settings = settings
+        self.clock = clock
+        self.rng = rng
+        self.by_service: dict[str, RetryBudget] = {}
+
+    def get(self, service: str) -> RetryBudget:
+        """Return the budget of a service, created on first use."""
+        budget = self.by_service.get(service)
+        if budget is None:
+            budget = self.by_service[service] = RetryBudget(
+                settings=self.settings, clock=self.clock, rng=self.rng
+            )
+        return budget
 
-def expire(times: collections.deque, oldest: float) -> None:
-    """Drop the times before ``oldest``."""
-    while times and times[0] < oldest:
-        times.popleft()
+    def set_settings(self, settings: BudgetSettings) -> None:
+        """Change the settings; credits that are earned stay valid."""
+        self.settings = settings
+        for budget in self.by_service.values():
+            budget.settings = settings
--- a/libs/citronshelf_instance/citronshelf_instance/settings.py
+++ b/libs/citronshelf_instance/citronshelf_instance/settings.py
@@ -45,10 +45,12 @@
 
 
 class RetriesTable(TypedDict):
-    """Retry budget of each service, for the whole fleet in each window."""
+    """Retry budget of each service, for the whole fleet in each window.
+
+    In any window the fleet retries at most ``ratio`` of its requests.
+    """
 
     ratio: Ratio
-    slack: Annotated[float, msgspec.Meta(ge=0)]
     window_s: Seconds
 
 
