instance: lend retry credits to instances that need one

Instances have few requests of a service each, so most credits expired where nobody needed them.

A credit leaves the lender's budget before it is sent, is lost with its message, and its validity counts from the request, so that loans add nothing to the sum.

The tests of the sum lend and lose credits now.

Ruled out: lending ahead of need, which needs messages all the time.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -31,6 +31,7 @@
 from citronshelf_instance import registrations
 from citronshelf_instance import request_handler
 from citronshelf_instance import retry_budget
+from citronshelf_instance import retry_loans
 from citronshelf_instance import settings
 from citronshelf_instance import shutdown
 from citronshelf_instance import store_reader
@@ -132,6 +133,11 @@
         self.budgets = retry_budget.RetryBudgets(
             settings=make_budget_settings(table), clock=clock, rng=self.rng
         )
+        self.loans = retry_loans.RetryLoans(
+            budgets=self.budgets, ask=self.peers.ask_for_credit, clock=clock
+        )
+        self.peers.lend_credit = self.loans.lend
+        self.peers.on_credit_reply = self.loans.receive
         self.forwarder = self.make_forwarder(clock)
         self.handler = request_handler.RequestHandler(
             state=self.state,
@@ -160,6 +166,7 @@
             client=self.client,
             names=self.names,
             budgets=self.budgets,
+            borrow=self.loans.borrow,
             observe=self.peers.record_observation,
             report_leaving=self.peers.report_leaving,
             metrics=self.metrics,
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -41,6 +41,9 @@
     client : UpstreamClient
     names : HeaderNames
     budgets : RetryBudgets
+    borrow : callable
+        Called with a service; awaits a credit of other instances for its
+        budget, for a short time.
     observe : callable
         Called with each ``Observation``.
     metrics : InstanceMetrics
@@ -65,6 +68,7 @@
         client: upstream.UpstreamClient,
         names: caller_request.HeaderNames,
         budgets: retry_budget.RetryBudgets,
+        borrow,
         observe,
         metrics,
         clock,
@@ -77,6 +81,7 @@
         self.client = client
         self.names = names
         self.budgets = budgets
+        self.borrow = borrow
         self.observe = observe
         self.metrics = metrics
         self.clock = clock
@@ -133,6 +138,9 @@
         self.failed_connections = 0
         self.running: dict[asyncio.Task, dispatch.Dispatch] = {}
         self.all_dispatches: list[dispatch.Dispatch] = []
+        # Waits for a credit with which to start a retry.
+        self.loan: asyncio.Task | None = None
+        self.may_borrow = True
         self.overdue_at_s: float | None = None
         self.unknown_reason = ''
         self.failed_response: outcomes.Response | None = None
@@ -145,9 +153,9 @@
         more may be tried.
         """
         self.start(is_retry=False)
-        while self.running:
+        while waiting := self.unfinished_tasks():
             await asyncio.wait(
-                self.running,
+                waiting,
                 timeout=max(
                     0.0, self.next_wakeup_s() - self.forwarder.clock()
                 ),
@@ -158,9 +166,15 @@
                 return response
             if self.forwarder.clock() >= self.expires_s:
                 return self.time_out()
+            self.check_loan()
             self.check_for_stall()
         return self.final_outcome()
 
+    def unfinished_tasks(self) -> set[asyncio.Task]:
+        """Return the tasks that may lead to an outcome."""
+        loan = {self.loan} if self.loan is not None else set()
+        return loan | self.running.keys()
+
     def next_wakeup_s(self) -> float:
         """Return the monotonic time to act if no dispatch has finished."""
         if self.overdue_at_s is None:
@@ -217,7 +231,8 @@
 
         The route's limit of servers, the remaining time, a lack of usable
         servers, the end of the instance or, for a retry, the retry budget can
-        prevent it. Returns whether the request was dispatched.
+        prevent it. Without a credit, a retry is started later if another
+        instance lends one. Returns whether the request was dispatched.
         """
         forwarder = self.forwarder
         now = forwarder.clock()
@@ -226,6 +241,8 @@
             return False
         if self.dispatches >= max(1, self.route.max_servers):
             return False
+        if is_retry and self.loan is not None:
+            return False
         if now + MIN_REMAINING_S >= self.expires_s:
             return False
         server = forwarder.placer.choose(
@@ -238,6 +255,7 @@
         if server is None:
             return False
         if is_retry and not self.try_spend_retry():
+            self.borrow_for_retry()
             return False
         self.tried.add(server.server_id)
         self.dispatches += 1
@@ -252,13 +270,21 @@
         self.running[task] = new_dispatch
         self.all_dispatches.append(new_dispatch)
         self.overdue_at_s = now + self.stall_timeout_s(server)
+        if is_retry and len(self.running) > 1:
+            forwarder.metrics.count('hedges')
         return True
 
     def try_spend_retry(self) -> bool:
-        """Spend one retry from the retry budget; log and count the result."""
+        """Spend one retry from the retry budget; log the decision."""
+        is_allowed = self.forwarder.budgets.get(self.service).try_spend()
+        if is_allowed or not self.may_borrow:
+            self.log_retry(is_allowed)
+        return is_allowed
+
+    def log_retry(self, is_allowed: bool) -> None:
+        """Log and count whether the retry budget allows a retry."""
         forwarder = self.forwarder
         budget = forwarder.budgets.get(self.service)
-        is_allowed = budget.try_spend()
         log_events.log_event(
             LOG,
             events.RETRY_ALLOWED if is_allowed else events.RETRY_DENIED,
@@ -267,9 +293,30 @@
             repeats=len(budget.retries),
             fresh=len(budget.requests),
             credits=len(budget.expiries_s),
+            has_borrowed=not self.may_borrow,
         )
         forwarder.metrics.count('repeats' if is_allowed else 'repeats_denied')
-        return is_allowed
+
+    def borrow_for_retry(self) -> None:
+        """Ask other instances for a credit, once for each request."""
+        if self.may_borrow:
+            self.may_borrow = False
+            self.loan = asyncio.create_task(
+                self.forwarder.borrow(self.service)
+            )
+
+    def check_loan(self) -> None:
+        """Start the retry that has waited for a credit.
+
+        A dispatch that has begun meanwhile gets its time before it is hedged.
+        A non-idempotent request has no running dispatch here: it asks for a
+        credit only after the last one has provably not run.
+        """
+        if self.loan is None or not self.loan.done():
+            return
+        self.loan = None
+        if not self.running or self.overdue_at_s is None:
+            self.start(is_retry=True)
 
     def stall_timeout_s(self, server: registrations.RegisteredServer) -> float:
         """Return the seconds after which a server's response is overdue."""
@@ -295,8 +342,8 @@
         self.overdue_at_s = None
         for running_dispatch in self.running.values():
             running_dispatch.record_stall()
-        if self.route.idempotent and self.start(is_retry=True):
-            self.forwarder.metrics.count('hedges')
+        if self.route.idempotent:
+            self.start(is_retry=True)
 
     def time_out(self) -> outcomes.Outcome:
         """Return the outcome of an expired request.
@@ -356,7 +403,7 @@
         The responses of finished ones are released only now: a server's error
         response is held while the request is retried.
         """
-        for task in self.running:
+        for task in self.unfinished_tasks():
             task.cancel()
         for any_dispatch in self.all_dispatches:
             any_dispatch.abort()
--- a/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
@@ -15,6 +15,7 @@
 
 ShortText = Annotated[str, msgspec.Meta(max_length=128)]
 Revision = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+RequestNumber = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 AgeS = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -147,6 +148,39 @@
     started_ms: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
+class RetryCreditRequest(NamedTuple):
+    """Asks for a credit of the retry budget of a service.
+
+    Attributes
+    ----------
+    sender : Member
+    service : str
+    number : int
+        Repeated in the reply.
+    """
+
+    sender: Member
+    service: Annotated[str, msgspec.Meta(max_length=200)]
+    number: RequestNumber
+
+
+class RetryCreditReply(NamedTuple):
+    """The reply to ``RetryCreditRequest``, which may bring a credit.
+
+    Attributes
+    ----------
+    sender : Member
+    number : int
+        Of the request.
+    valid_s : float or None
+        Seconds for which the credit may be spent; None without a credit.
+    """
+
+    sender: Member
+    number: RequestNumber
+    valid_s: Annotated[float, msgspec.Meta(ge=0, le=3600)] | None
+
+
 class Leave(NamedTuple):
     """Announces that the sender stops."""
 
@@ -163,5 +197,7 @@
         Leave,
         ReaderReport,
         ServerLeaving,
+        RetryCreditRequest,
+        RetryCreditReply,
     )
 )
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -42,6 +42,8 @@
 URGENT_DELAY_S = 0.002
 EVIDENCE_DELAY_S = 1.0
 MAX_PENDING_OBSERVATIONS = 200
+# Instances of the region that are asked for a retry credit at once.
+CREDIT_PEERS = 4
 FETCH_INTERVAL_S = 0.5
 # Interval between the first requests for the state after a start; it doubles
 # up to FETCH_INTERVAL_S with each request.
@@ -118,6 +120,8 @@
         self.next_copy_s = float('-inf')
         self.on_peer_revision = lambda revision: None
         self.is_store_current = lambda: False
+        self.lend_credit = lambda service: None
+        self.on_credit_reply = lambda number, valid_s: None
         links.on_message = self.receive
 
     def set_seeds(self, seeds: list[fleet.Address]) -> None:
@@ -329,6 +333,10 @@
                 self.send_state(message, route)
             case peer_messages.StateCopy():
                 self.apply_state_copy(message)
+            case peer_messages.RetryCreditRequest():
+                self.reply(route, self.make_credit_reply(message))
+            case peer_messages.RetryCreditReply():
+                self.on_credit_reply(message.number, message.valid_s)
 
     def record_revision(self, message, route) -> None:
         """Record the newest change that the sender of a message knows.
@@ -471,11 +479,41 @@
         ):
             directory.record_leaving(server, '', message.sender.instance)
 
-    def sample_region(self) -> list[membership.KnownMember]:
-        """Return at most ``MAX_EVIDENCE_PEERS`` instances of the region."""
+    def ask_for_credit(self, service: str, number: int) -> int:
+        """Ask instances of the region for a credit of a retry budget.
+
+        Parameters
+        ----------
+        service : str
+        number : int
+            Identifies the request in the replies.
+
+        Returns
+        -------
+        int
+            How many instances were asked.
+        """
+        message = peer_messages.RetryCreditRequest(self.own, service, number)
+        return sum(
+            self.send(peer.member.address, message)
+            for peer in self.sample_region(CREDIT_PEERS)
+        )
+
+    def make_credit_reply(
+        self, message: peer_messages.RetryCreditRequest
+    ) -> peer_messages.RetryCreditReply:
+        """Return the reply, with a credit of this instance if it has one."""
+        return peer_messages.RetryCreditReply(
+            self.own, message.number, self.lend_credit(message.service)
+        )
+
+    def sample_region(
+        self, limit: int = MAX_EVIDENCE_PEERS
+    ) -> list[membership.KnownMember]:
+        """Return at most ``limit`` random instances of the region."""
         members = self.members.in_region()
-        if len(members) > MAX_EVIDENCE_PEERS:
-            return self.rng.sample(members, MAX_EVIDENCE_PEERS)
+        if len(members) > limit:
+            return self.rng.sample(members, limit)
         return members
 
     def schedule_flush(self, delay_s: float) -> None:
--- a/libs/citronshelf_instance/citronshelf_instance/retry_budget.py
+++ b/libs/citronshelf_instance/citronshelf_instance/retry_budget.py
@@ -92,13 +92,21 @@
 
     def try_spend(self) -> bool:
         """Spend one credit on a retry; return False if there is none."""
+        if self.pop_credit() is None:
+            return False
+        self.retries.append(self.clock())
+        return True
+
+    def pop_credit(self) -> float | None:
+        """Remove a credit; return its remaining validity in seconds.
+
+        Returns None if there is no credit.
+        """
         now = self.clock()
         self.expire(now)
         if not self.expiries_s:
-            return False
-        del self.expiries_s[0]
-        self.retries.append(now)
-        return True
+            return None
+        return self.expiries_s.pop(0) - now
 
     def expire(self, now: float) -> None:
         """Drop expired credits and the times before the last window."""
@@ -134,6 +142,10 @@
             )
         return budget
 
+    def find(self, service: str) -> RetryBudget | None:
+        """Return the budget of a service that had requests, or None."""
+        return self.by_service.get(service)
+
     def set_settings(self, settings: BudgetSettings) -> None:
         """Change the settings; credits that are earned stay valid."""
         self.settings = settings
--- a/libs/citronshelf_instance/tests/budget_model.py
+++ b/libs/citronshelf_instance/tests/budget_model.py
@@ -23,8 +23,10 @@
 
     Attributes
     ----------
-    known : list of int
-        How many instances each one knows, itself included.
+    groups : list of int
+        Group of each instance; only instances of a group reach each other.
+    loss : float
+        Share of the credits that are lost on their way.
     request_times_s, repeat_times_s : list of float
     """
 
@@ -32,7 +34,8 @@
         self.slack = slack
         self.clock = FakeClock()
         self.rng = random.Random(seed)
-        self.known = [instances] * instances
+        self.groups = [0] * instances
+        self.loss = 0.0
         self.budgets = [None] * instances
         self.request_times_s = []
         self.repeat_times_s = []
@@ -54,9 +57,22 @@
 
     def repeat(self, number):
         """Let an instance repeat a request if its budget allows it."""
-        if self.budgets[number].try_spend():
+        if self.budgets[number].try_spend() or self.borrow(number):
             self.repeat_times_s.append(self.clock.now)
 
+    def borrow(self, number):
+        """Spend a credit of another instance; return whether one had any."""
+        lenders = [
+            other
+            for other, group in enumerate(self.groups)
+            if other != number and group == self.groups[number]
+        ]
+        for lender in self.rng.sample(lenders, min(4, len(lenders))):
+            valid_s = self.budgets[lender].pop_credit()
+            if valid_s is not None and self.rng.random() >= self.loss:
+                self.budgets[number].add_credit(self.clock.now + valid_s)
+        return self.budgets[number].try_spend()
+
     def run(self, numbers, *, rate, seconds, refused_share):
         """Send requests to random instances of ``numbers`` for a time."""
         for _ in range(round(rate * seconds)):
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -42,6 +42,8 @@
 OTHER = GOOD.replace(b'X-Signature', b'X-Request-Id: zz\r\nX-Signature')
 SURPLUS = GOOD + GOOD
 HANG = None
+# Time after which other instances lend a credit.
+LOAN_S = 0.2
 CLOSE = b''
 
 
@@ -118,9 +120,11 @@
 class Harness:
     """Forwarder to scripted servers, of which the first is preferred."""
 
-    def __init__(self, *scripts, ratio=3.0, extra=()):
+    def __init__(self, *scripts, ratio=3.0, loans=0, extra=()):
         self.servers = ScriptedServers(list(scripts))
         self.ratio = ratio
+        self.loans = loans
+        self.borrowers = []
         self.extra = extra
         self.observations = []
 
@@ -143,12 +147,22 @@
                 clock=time.monotonic,
                 rng=random.Random(1),
             ),
+            borrow=self.borrow,
             observe=self.observations.append,
             metrics=metrics.InstanceMetrics(),
             clock=time.monotonic,
         )
         return self
 
+    async def borrow(self, service):
+        """Add one of the remaining loans to the budget after a while."""
+        self.borrowers.append(service)
+        await asyncio.sleep(LOAN_S)
+        if self.loans:
+            self.loans -= 1
+            budget = self.forwarder.budgets.get(service)
+            budget.add_credit(time.monotonic() + 1.0)
+
     async def __aexit__(self, *_details):
         self.client.close()
         await self.servers.__aexit__()
@@ -311,6 +325,68 @@
         assert asyncio.run(run()).status == 200
 
 
+class TestBorrowedCredits:
+    """A retry without a credit waits for one of another instance."""
+
+    @pytest.mark.parametrize('script', [ERROR, SHED, CLOSE])
+    def test_retry_is_made_with_a_borrowed_credit(self, script):
+        harness = Harness(script, GOOD, ratio=0.0, loans=1)
+        outcome, heads, _ = run_with(harness=harness)
+        assert outcome.status == 200
+        assert [number for number, _ in heads] == [0, 1]
+        assert harness.borrowers == ['ledger']
+
+    def test_refused_non_idempotent_request_is_sent_again(self):
+        harness = Harness(SHED, GOOD, ratio=0.0, loans=1)
+        outcome, heads, _ = run_with(harness=harness, idempotent=False)
+        assert outcome.status == 200
+        assert len(heads) == 2
+
+    # Guards against a second execution: without proof that it did not run, a
+    # non-idempotent request is not sent again, whatever credits there are.
+    @pytest.mark.parametrize('script', [ERROR, CLOSE, SHORT])
+    def test_non_idempotent_request_that_may_have_run_asks_for_none(
+        self, script
+    ):
+        harness = Harness(script, GOOD, ratio=0.0, loans=1)
+        _, heads, _ = run_with(harness=harness, idempotent=False)
+        assert (len(heads), harness.borrowers) == (1, [])
+
+    def test_request_asks_only_once(self, caplog):
+        harness = Harness(ERROR, ERROR, GOOD, ratio=0.0, loans=1)
+        with caplog.at_level(logging.INFO):
+            outcome, heads, _ = run_with(harness=harness, max_servers=3)
+        assert outcome.status == 500
+        assert (len(heads), len(harness.borrowers)) == (2, 1)
+        names = [r.event_name for r in caplog.records if hasattr(r, 'repeats')]
+        assert names == ['repeat-allowed', 'repeat-denied']
+
+    def test_overdue_request_is_hedged_with_a_borrowed_credit(self):
+        harness = Harness(HANG, GOOD, ratio=0.0, loans=1)
+        outcome, heads, _ = run_with(harness=harness, target_latency_s=0.2)
+        assert outcome.status == 200
+        assert [number for number, _ in heads] == [0, 1]
+
+    def test_waiting_request_ends_at_its_deadline(self):
+        harness = Harness(ERROR, GOOD, ratio=0.0, loans=1)
+        request = make_request(deadline_s=LOAN_S / 2)
+        outcome, heads, _ = run_with(harness=harness, request=request)
+        assert outcome.status == 500
+        assert len(heads) == 1
+
+    def test_caller_that_leaves_ends_the_wait(self):
+        async def run():
+            async with Harness(ERROR, GOOD, ratio=0.0, loans=1) as harness:
+                task = asyncio.create_task(harness.run())
+                while not harness.borrowers:
+                    await asyncio.sleep(0.001)
+                task.cancel()
+                await asyncio.sleep(2 * LOAN_S)
+                return harness.loans, len(harness.servers.heads)
+
+        assert asyncio.run(run()) == (1, 1)
+
+
 class TestOwnShortage:
     """A lack of free handles of this process says nothing about servers."""
 
--- a/libs/citronshelf_instance/tests/test_retry_budget.py
+++ b/libs/citronshelf_instance/tests/test_retry_budget.py
@@ -127,12 +127,9 @@
         model = budget_model.FleetModel(36)
         everyone = range(36)
         model.run(everyone, rate=60, seconds=15, refused_share=0.05)
-        for number in range(14):
+        for number in everyone:
             model.restart(number)
-            model.known[number] = 1
-        for number in range(14, 36):
-            model.restart(number)
-            model.known[number] = 22
+            model.groups[number] = number if number < 14 else 36
         model.run(everyone, rate=60, seconds=12, refused_share=0.05)
         model.run(everyone, rate=83, seconds=8, refused_share=0.9)
         assert model.repeat_times_s
@@ -142,7 +139,7 @@
     @pytest.mark.parametrize('size', [18, 12, 6, 1])
     def test_groups_that_do_not_know_each_other_keep_the_sum(self, size):
         model = budget_model.FleetModel(36)
-        model.known = [size] * 36
+        model.groups = [number // size for number in range(36)]
         model.run(range(36), rate=60, seconds=20, refused_share=0.0)
         model.run(range(36), rate=83, seconds=20, refused_share=0.9)
         assert model.repeat_times_s
@@ -166,7 +163,8 @@
         for _ in range(20):
             number = rng.randrange(6)
             model.restart(number)
-            model.known[number] = rng.randint(1, 6)
+            model.groups[number] = rng.randrange(3)
+            model.loss = rng.choice([0.0, 0.5])
             model.run(
                 rng.sample(range(6), rng.randint(1, 6)),
                 rate=rng.choice([2, 8, 30]),
