entry: refuse late requests that may outlast the shutdown

Cause: citronshelf-entry waited for all work without a limit and did not know when it would be killed.

Change: settings entry.grace_s (30 s by default). What runs at that time ends with 504 unknown, a response that has begun with a closed connection, before the kill.

Evidence: tests/test_killed_process.py::TestGracePeriod, real processes that are killed 4 s after SIGTERM. Before: no response for GET and POST sent 1.5 s after SIGTERM and for a request that ran at the end (the test of keys failed for a fault of its own then). Now all pass; a late request that ends in time is still served.

Ruled out: no requests at all once the listener is closed, since those that end in time are served and finished keys are collected then.

--- a/libs/citronshelf_common/citronshelf_common/settings.py
+++ b/libs/citronshelf_common/citronshelf_common/settings.py
@@ -39,13 +39,15 @@
     """Addresses and settings of the entry daemon.
 
     ``balancer_lag_s`` is the time, in seconds, for which the load balancer may
-    still send callers after the instance has stopped being ready.
+    still send callers after the instance has stopped being ready. ``grace_s``
+    is the time after SIGTERM at which the process is killed.
     """
 
     listen: AddressText
     admin: AddressText
     forward: AddressText
     balancer_lag_s: NotRequired[Seconds]
+    grace_s: NotRequired[Seconds]
 
 
 class ControlTable(TypedDict):
--- a/libs/citronshelf_entry/citronshelf_entry/caller_server.py
+++ b/libs/citronshelf_entry/citronshelf_entry/caller_server.py
@@ -9,6 +9,7 @@
 
 from citronshelf_common import events as log_events
 from citronshelf_common import fleet
+from citronshelf_common import outcomes
 from citronshelf_entry import caller_response
 from citronshelf_entry import clock
 from citronshelf_entry import events
@@ -195,6 +196,15 @@
         }
         self.response.send_json(504, content)
 
+    def end(self) -> None:
+        """End the running request: its work may have run."""
+        if self.response.is_head_sent:
+            self.response.abort()
+        else:
+            outcome = outcomes.Unknown(reason='shutdown')
+            self.response.send_outcome(outcome)
+        self.task.cancel()
+
     def send_refusal(self) -> None:
         """Send the refusal unless a response has already begun."""
         if not self.response.is_head_sent:
@@ -271,6 +281,11 @@
             server=self, session=session, connection=connection
         )
 
+    def end_requests(self) -> None:
+        """End the running requests with final responses."""
+        for request in list(self.requests):
+            request.end()
+
     def is_closing(self) -> bool:
         """Return whether responses close their connections."""
         return self.closing
--- a/libs/citronshelf_entry/citronshelf_entry/daemon.py
+++ b/libs/citronshelf_entry/citronshelf_entry/daemon.py
@@ -31,6 +31,7 @@
 from citronshelf_peering import links
 
 DEFAULT_BALANCER_LAG_S = 5.0
+DEFAULT_GRACE_S = 30.0
 MAX_REPORTED_AGE_S = 1e6
 # Time for sending the last responses to other instances before the exit.
 FLUSH_MS = 500
@@ -213,13 +214,17 @@
         ]
         self.gc_monitor.start()
         await stopping.wait()
+        entry = self.settings['entry']
         await shutdown.shut_down(
             callers=self.callers,
             owner=self.owner,
             forward_server=self.forward_server,
             service=self.service,
-            balancer_lag_s=self.settings['entry'].get(
-                'balancer_lag_s', DEFAULT_BALANCER_LAG_S
+            times=shutdown.ShutdownTimes(
+                balancer_lag_s=entry.get(
+                    'balancer_lag_s', DEFAULT_BALANCER_LAG_S
+                ),
+                grace_s=entry.get('grace_s', DEFAULT_GRACE_S),
             ),
         )
         self.gc_monitor.stop()
--- a/libs/citronshelf_entry/citronshelf_entry/service.py
+++ b/libs/citronshelf_entry/citronshelf_entry/service.py
@@ -42,6 +42,11 @@
     metrics : EntryMetrics
     owner : KeyOwner
     forwarder : OwnerForwarder
+
+    Attributes
+    ----------
+    work_end_s : float
+        Time at which the shutdown ends running work.
     """
 
     def __init__(
@@ -59,6 +64,7 @@
         self.owner = owner
         self.forwarder = forwarder
         self.detached: set[asyncio.Task] = set()
+        self.work_end_s = float('inf')
 
     def route(self, request: caller_server.CallerRequestHandler) -> Result:
         """Return the route of a request and its body limit in bytes.
@@ -187,7 +193,7 @@
         )
         request.job = job
         receiver = request.response if head.may_chunk else None
-        running = self.dispatcher.run(job, receiver)
+        running = self.run_in_time(job, receiver)
         if not job.work.idempotent:
             running = self.detach(running)
         outcome = await running
@@ -277,7 +283,21 @@
             account=request.account,
             deadline_ms=request.deadline_ms,
         )
-        return await self.dispatcher.run(job, None)
+        return await self.run_in_time(job, None)
+
+    async def run_in_time(
+        self, job: jobs.Job, receiver
+    ) -> outcomes.Outcome | None:
+        """Run a job, unless it may last longer than this process.
+
+        Returns
+        -------
+        Outcome or None
+            None if the response was streamed to the receiver.
+        """
+        if job.work.deadline_at > self.work_end_s:
+            return outcomes.NotRun(reason='stopping')
+        return await self.dispatcher.run(job, receiver)
 
     def detach(self, running) -> asyncio.Future:
         """Run work in a task that continues if its caller disconnects."""
--- a/libs/citronshelf_standins/citronshelf_standins/local_fleet.py
+++ b/libs/citronshelf_standins/citronshelf_standins/local_fleet.py
@@ -38,6 +38,7 @@
 admin = "{ip}:{entry_admin}"
 forward = "{ip}:{forward}"
 balancer_lag_s = {balancer_lag_s}
+grace_s = {grace_s}
 
 [control]
 peer = "{ip}:{peer}"
@@ -77,6 +78,8 @@
         Configuration document that ``start`` publishes.
     balancer_lag_s : float
         Value of the setting ``entry.balancer_lag_s``, in seconds.
+    grace_s : float
+        Value of the setting ``entry.grace_s``, in seconds.
     server_options : tuple of str
         Additional command-line options of every backend server.
     """
@@ -88,12 +91,14 @@
         layout: layouts.Layout,
         document: bytes,
         balancer_lag_s: float = 5.0,
+        grace_s: float = 30.0,
         server_options: tuple[str, ...] = (),
     ):
         self.directory = directory
         self.layout = layout
         self.document = document
         self.balancer_lag_s = balancer_lag_s
+        self.grace_s = grace_s
         self.server_options = server_options
         self.platform_relays: dict[str, str] = {}
         self.peer_relays: dict[str, str] = {}
@@ -266,6 +271,7 @@
             control_admin=layouts.CONTROL_ADMIN_PORT,
             local=layouts.LOCAL_LINK_PORT,
             balancer_lag_s=float(self.balancer_lag_s),
+            grace_s=float(self.grace_s),
             platform=self.platform_relays.get(
                 instance.name, self.layout.platform
             ),
--- a/tests/test_killed_process.py
+++ b/tests/test_killed_process.py
@@ -1,10 +1,15 @@
 """One process on the request path is killed under load."""
 
+import http.client
+import json
 import signal
+import threading
 import time
 
 import pytest
 
+import fleet_factory
+
 
 def kill_under_load(fleet, load, name):
     """Kill one process during a load, and continue the load.
@@ -78,3 +83,129 @@
         assert report.violations == ()
         assert (report.lost, report.unknown) == (0, 0)
         assert fleet.processes[f'{name}/entry'].returncode == 0
+
+
+# Time after SIGTERM at which the platform kills the process.
+GRACE_S = 4.0
+BALANCER_LAG_S = 0.5
+
+
+class Connection:
+    """A caller's connection that stays open for several requests."""
+
+    def __init__(self, address):
+        self.http = http.client.HTTPConnection(address, timeout=10)
+
+    def send(self, method, path, work_id, **headers):
+        """Return the status, the outcome and the body; None if cut."""
+        headers = {name.replace('_', '-'): v for name, v in headers.items()}
+        body = b'{}' if method == 'POST' else None
+        try:
+            self.http.request(
+                method, path, body, headers | {'X-Work-Id': work_id}
+            )
+            response = self.http.getresponse()
+            content = response.read()
+        except (OSError, http.client.HTTPException):
+            return None
+        return (
+            response.status,
+            response.headers['Citronshelf-Outcome'],
+            content,
+        )
+
+    def send_later(self, *arguments, **headers):
+        """Send in a thread; return it and a list for the result."""
+        results = []
+        thread = threading.Thread(
+            target=lambda: results.append(self.send(*arguments, **headers))
+        )
+        thread.start()
+        return thread, results
+
+
+class TestGracePeriod:
+    """Every request has an answer when the platform kills the process."""
+
+    @pytest.fixture
+    def stopping(self, fleets):
+        """Return a function that stops an instance as the platform does."""
+        fleet = fleets.start(
+            instances=1, balancer_lag_s=BALANCER_LAG_S, grace_s=GRACE_S
+        )
+        name = 'howrah-1/entry'
+        [address] = fleet_factory.caller_addresses(fleet).values()
+        timers = []
+
+        def stop():
+            fleet.signal(name, signal.SIGTERM)
+            timers.append(
+                threading.Timer(GRACE_S, fleet.signal, (name, signal.SIGKILL))
+            )
+            timers[0].start()
+
+        yield fleet, lambda: Connection(address), stop
+        for timer in timers:
+            timer.cancel()
+
+    # Guards against a request that is passed on late in the grace period and
+    # cut at its end without an answer.
+    @pytest.mark.parametrize('method', ['GET', 'POST'])
+    def test_late_request_that_may_last_too_long_is_not_run(
+        self, stopping, method
+    ):
+        fleet, connect, stop = stopping
+        path = '/sheets/batch-2' if method == 'GET' else '/mint/issue'
+        kept = connect()
+        assert kept.send('GET', '/ledger/shop-7', 'early')[0] == 200
+        busy, _ = connect().send_later('GET', '/sheets/b-1?ms=2500', 'busy')
+        time.sleep(0.2)
+        stop()
+        time.sleep(3 * BALANCER_LAG_S)
+        answer = kept.send(method, f'{path}?ms=4000', 'late')
+        busy.join()
+        assert answer is not None
+        assert answer[:2] == (503, 'not-run')
+        works = {line['work'] for line in fleet.logged_executions()}
+        assert 'late' not in works
+
+    def test_late_request_that_ends_in_time_is_served(self, stopping):
+        _, connect, stop = stopping
+        kept = connect()
+        assert kept.send('GET', '/ledger/shop-7', 'early')[0] == 200
+        busy, results = connect().send_later('GET', '/sheets/b-1?ms=2500', 'b')
+        time.sleep(0.2)
+        stop()
+        time.sleep(3 * BALANCER_LAG_S)
+        late = kept.send('GET', '/ledger/shop-7', 'late', X_Deadline_Ms='1000')
+        busy.join()
+        assert (late[:2], results[0][:2]) == ((200, 'done'), (200, 'done'))
+
+    def test_running_request_has_an_answer_at_the_end(self, stopping):
+        _, connect, stop = stopping
+        running, results = connect().send_later(
+            'POST', '/mint/issue?ms=4800', 'long'
+        )
+        time.sleep(0.2)
+        stop()
+        running.join()
+        assert results[0] is not None
+        assert results[0][:2] == (504, 'unknown')
+
+    def test_late_request_with_a_key_is_not_run(self, stopping):
+        fleet, connect, stop = stopping
+        kept = connect()
+        _, _, body = kept.send('POST', '/_citronshelf/keys', 'key')
+        key = json.loads(body)['key']
+        busy, _ = connect().send_later('GET', '/sheets/b-1?ms=2500', 'busy')
+        time.sleep(0.2)
+        stop()
+        time.sleep(3 * BALANCER_LAG_S)
+        answer = kept.send(
+            'POST', '/mint/issue?ms=4000', 'late', Idempotency_Key=key
+        )
+        busy.join()
+        assert answer is not None
+        assert answer[:2] == (503, 'not-run')
+        works = {line['work'] for line in fleet.logged_executions()}
+        assert 'late' not in works
