--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -134,7 +134,10 @@
             settings=make_budget_settings(table), clock=clock, rng=self.rng
         )
         self.loans = retry_loans.RetryLoans(
-            budgets=self.budgets, ask=self.peers.ask_for_credit, clock=clock
+            budgets=self.budgets,
+            ask=self.peers.ask_for_credit,
+            clock=clock,
+            rng=self.rng,
         )
         self.peers.lend_credit = self.loans.lend
         self.peers.on_credit_reply = self.loans.receive
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -293,7 +293,7 @@
             repeats=len(budget.retries),
             fresh=len(budget.requests),
             credits=len(budget.expiries_s),
-            has_borrowed=not self.may_borrow,
+            has_asked=not self.may_borrow,
         )
         forwarder.metrics.count('repeats' if is_allowed else 'repeats_denied')
 
--- a/libs/citronshelf_instance/citronshelf_instance/retry_loans.py
+++ b/libs/citronshelf_instance/citronshelf_instance/retry_loans.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 
 from citronshelf_instance import retry_budget
 
@@ -50,6 +51,7 @@
         request and ``is_remote``; returns how many were asked.
     clock : callable
         Monotonic seconds.
+    rng : random.Random
     """
 
     def __init__(
@@ -58,11 +60,13 @@
         budgets: retry_budget.RetryBudgets,
         ask: Callable[..., int],
         clock,
+        rng: random.Random,
     ):
         self.budgets = budgets
         self.ask = ask
         self.clock = clock
-        self.last_number = 0
+        # Replies to a previous process must not match a request of this one.
+        self.last_number = rng.getrandbits(48)
         self.pending: dict[int, PendingLoan] = {}
         self.paused_until_s: dict[str, float] = {}
 
@@ -124,6 +128,8 @@
         loan.unanswered -= 1
         if valid_s is not None:
             loan.is_granted = True
-            self.budgets.get(loan.service).add_credit(loan.asked_s + valid_s)
+            budget = self.budgets.get(loan.service)
+            life_s = min(valid_s, budget.settings.credit_life_s())
+            budget.add_credit(loan.asked_s + life_s)
         if loan.is_granted or loan.unanswered <= 0:
             loan.decided.set()
--- a/libs/citronshelf_instance/tests/test_retry_loans.py
+++ b/libs/citronshelf_instance/tests/test_retry_loans.py
@@ -25,7 +25,10 @@
             settings=SETTINGS, clock=self.clock, rng=random.Random(1)
         )
         self.loans = retry_loans.RetryLoans(
-            budgets=self.budgets, ask=self.ask, clock=self.clock
+            budgets=self.budgets,
+            ask=self.ask,
+            clock=self.clock,
+            rng=random.Random(1),
         )
 
     def ask(self, service, number, *, is_remote):
@@ -165,3 +168,15 @@
             return instance.budgets.get(SERVICE).try_spend()
 
         assert run(scenario) is False
+
+    def test_longer_validity_than_own_credits_have_is_cut(self):
+        async def scenario(instance):
+            await instance.borrow([3000.0])
+            await instance.borrow([3000.0])
+            budget = instance.budgets.get(SERVICE)
+            instance.loans.receive(0, 1.0)
+            budget.add_credit(0.0)
+            return budget.expiries_s, SETTINGS.credit_life_s()
+
+        expiries_s, life_s = run(scenario)
+        assert all(expires_s <= life_s + 0.01 for expires_s in expiries_s)
