client: story shows the announcements that decided a request

What operators saw: story named no announcement of a server, and for a 503 without a server no cause at all.

Change: announcements of the request's servers are shown, a leaving one however old, one that asked for time as long as it holds; a request without a server shows those of its service. Tests: test_story_command.py::TestAnnouncements, three cases; the first two failed before (no row of the announcement).

--- a/libs/citronshelf_client/citronshelf_client/story_command.py
+++ b/libs/citronshelf_client/citronshelf_client/story_command.py
@@ -14,7 +14,10 @@
 # a failure of a server lasts ten seconds on average
 # (`citronshelf_instance.evidence`).
 CONTEXT_BEFORE_S = 10.0
-SERVER_EVENTS = frozenset(
+ANNOUNCEMENT_EVENTS = frozenset(
+    {'server-leaving', 'server-asked-for-time', 'retry-time-invalid'}
+)
+SERVER_EVENTS = ANNOUNCEMENT_EVENTS | frozenset(
     {
         'server-suspected',
         'server-trusted',
@@ -85,14 +88,15 @@
         shown = formatting.make_printable(request_id)
         print(f'no log line names request {shown}', file=sys.stderr)
         return int(program.ExitStatus.DIFFERS)
-    servers = {line.fields.get('server') for line in request_lines} - {None}
+    servers = find_servers(request_lines, server_lines)
     first_s = min(line.at_s for line in request_lines)
     last_s = max(line.at_s for line in request_lines)
     related = [
         line
         for line in server_lines
         if line.fields.get('server') in servers
-        and first_s - CONTEXT_BEFORE_S <= line.at_s <= last_s
+        and first_s <= valid_until_s(line)
+        and line.at_s <= last_s
     ]
     lines = sorted(request_lines + related, key=lambda line: line.at_s)
     rows = [make_row(group, first_s) for group in group_lines(lines)]
@@ -100,6 +104,42 @@
     return int(program.ExitStatus.DONE)
 
 
+def find_servers(
+    request_lines: list[LogLine], server_lines: list[LogLine]
+) -> set[str]:
+    """Return the servers that a request was sent to.
+
+    If no server could be chosen, also those of its service.
+    """
+    servers = {line.fields.get('server') for line in request_lines} - {None}
+    services = {
+        line.fields.get('service')
+        for line in request_lines
+        if line.fields.get('event_name') == 'no-server'
+    } - {None}
+    return servers | {
+        line.fields.get('server')
+        for line in server_lines
+        if line.fields.get('service') in services
+    }
+
+
+def valid_until_s(line: LogLine) -> float:
+    """Return the time up to which a server event may decide a request.
+
+    A server that asked for time is left alone for ``held_s``, and one that
+    leaves for good.
+    """
+    held_s = line.fields.get('held_s')
+    match line.fields.get('event_name'):
+        case 'server-leaving':
+            return float('inf')
+        case 'server-asked-for-time' if isinstance(held_s, int | float):
+            return line.at_s + max(CONTEXT_BEFORE_S, held_s)
+        case _:
+            return line.at_s + CONTEXT_BEFORE_S
+
+
 def select_lines(request_id: str, raw_lines: Iterable[str]):
     """Select the lines that may belong to one request.
 
@@ -134,7 +174,9 @@
         at = datetime.datetime.strptime(fields['time'], TIME_FORMAT)
     except (ValueError, KeyError, TypeError, RecursionError):
         return None
-    names = (fields.get('event_name', ''), fields.get('server', ''))
+    names = [
+        fields.get(name, '') for name in ('event_name', 'server', 'service')
+    ]
     if not all(isinstance(name, str) for name in names):
         return None
     at = at.replace(tzinfo=datetime.UTC)
--- a/libs/citronshelf_client/tests/test_story_command.py
+++ b/libs/citronshelf_client/tests/test_story_command.py
@@ -88,6 +88,67 @@
         assert '\x1b' not in shown[0]
 
 
+class TestAnnouncements:
+    """Shows which announcement of a server decided."""
+
+    LEAVING = {'event_name': 'server-leaving', 'server': 's1'}
+    ASKED = {
+        'event_name': 'server-asked-for-time',
+        'server': 's1',
+        'request_id': 'r0',
+        'seconds': 20.0,
+        'held_s': 22.0,
+    }
+    REGISTERED = {
+        'event_name': 'server-registered',
+        'server': 's1',
+        'service': 'ledger',
+    }
+    NO_SERVER = {
+        'event_name': 'no-server',
+        'request_id': 'r1',
+        'service': 'ledger',
+    }
+
+    def shown_events(self, monkeypatch, capsys, *lines):
+        _, shown, _ = run_story(monkeypatch, capsys, *lines)
+        return [row.split()[2] for row in shown]
+
+    def test_announcement_of_its_server(self, monkeypatch, capsys):
+        other = self.LEAVING | {'server': 's2'}
+        assert self.shown_events(
+            monkeypatch,
+            capsys,
+            make_line(2, self.LEAVING),
+            make_line(2, other),
+            make_line(30, CHOSEN),
+        ) == ['server-leaving', 'server-chosen']
+
+    # Guards against a 503 without a server whose story shows no cause.
+    def test_announcements_of_the_service_without_a_server(
+        self, monkeypatch, capsys
+    ):
+        other = self.REGISTERED | {'server': 's2', 'service': 'other'}
+        leaving = self.LEAVING | {'server': 's2'}
+        assert self.shown_events(
+            monkeypatch,
+            capsys,
+            make_line(1, self.REGISTERED),
+            make_line(1, other),
+            make_line(10, self.ASKED),
+            make_line(11, leaving),
+            make_line(30, self.NO_SERVER),
+        ) == ['server-asked-for-time', 'no-server']
+
+    def test_time_that_is_over_is_left_out(self, monkeypatch, capsys):
+        assert self.shown_events(
+            monkeypatch,
+            capsys,
+            make_line(2, self.ASKED),
+            make_line(30, CHOSEN),
+        ) == ['server-chosen']
+
+
 class TestBadInput:
     """Reports unknown requests and lines that cannot be decoded."""
 
