client: status of one citronshelf-instance, with its announcements

What operators saw: status asked control daemons only; for citronshelf-instance nothing but the metrics page told how many servers announced that they leave or asked for time.

Ruled out: a page of its own in the instance, which repeats the gauges.

--- a/libs/citronshelf_client/citronshelf_client/admin_client.py
+++ b/libs/citronshelf_client/citronshelf_client/admin_client.py
@@ -72,6 +72,25 @@
         Result
             ``Ok`` with the decoded body, or ``Error`` with the reason.
         """
+        body = await self.fetch(
+            address, path, query=query, accepted_statuses=accepted_statuses
+        )
+        return body.bind(lambda data: decode_response(data, response_type))
+
+    async def fetch_text(self, address: str, path: str) -> Result:
+        """Fetch a page of text; return it, or ``Error`` with the reason."""
+        body = await self.fetch(address, path)
+        return body.map(lambda data: data.decode('utf-8', 'replace'))
+
+    async def fetch(
+        self,
+        address: str,
+        path: str,
+        *,
+        query: Mapping[str, str] | None = None,
+        accepted_statuses: Collection[int] = (200,),
+    ) -> Result:
+        """Fetch the body of a page; the parameters are as above."""
         fault = find_address_fault(address)
         if fault is not None:
             return Error(fault)
@@ -90,7 +109,7 @@
             return Error(str(error) or type(error).__name__)
         if response.code not in accepted_statuses:
             return Error(describe_failure(response))
-        return decode_response(response.body, response_type)
+        return Ok(response.body)
 
     def close(self) -> None:
         """Close all connections to the admin addresses."""
--- a/libs/citronshelf_client/citronshelf_client/program.py
+++ b/libs/citronshelf_client/citronshelf_client/program.py
@@ -73,14 +73,20 @@
     status = commands.add_parser(
         'status', help='show which revision is in force on each instance'
     )
-    status.add_argument(
+    sources = status.add_mutually_exclusive_group(required=True)
+    sources.add_argument(
         '--from',
         dest='source',
         metavar='IP:PORT',
         type=validate_address,
-        required=True,
         help='admin address of a control daemon',
     )
+    sources.add_argument(
+        '--instance',
+        metavar='IP:PORT',
+        type=validate_address,
+        help='metrics address of a citronshelf-instance',
+    )
     status.add_argument(
         '--json', action='store_true', help='print one JSON object'
     )
@@ -111,6 +117,10 @@
             return documents.check(arguments.file)
         case 'diff':
             return documents.diff(arguments.old, arguments.new)
+        case 'status' if arguments.instance is not None:
+            return status_command.instance_status(
+                arguments.instance, as_json=arguments.json
+            )
         case 'status':
             return status_command.status(
                 arguments.source, as_json=arguments.json
--- a/libs/citronshelf_client/citronshelf_client/status_command.py
+++ b/libs/citronshelf_client/citronshelf_client/status_command.py
@@ -5,6 +5,7 @@
 
 from citronshelf_client import fleet_status
 from citronshelf_client import formatting
+from citronshelf_client import instance_gauges
 from citronshelf_common import program
 
 
@@ -25,10 +26,7 @@
     """
     result = asyncio.run(fleet_status.query_fleet(address))
     if result.is_error():
-        reason = formatting.make_printable(
-            f'{address}: cannot fetch status: {result.error}'
-        )
-        return program.fail(reason, program.ExitStatus.NOT_REACHABLE)
+        return fail_unreachable(address, result.error)
     report = result.ok
     lines = json_lines(report) if as_json else text_lines(report)
     print('\n'.join(lines))
@@ -37,6 +35,46 @@
     return int(exits.DONE if settled else exits.DIFFERS)
 
 
+def instance_status(address: str, *, as_json: bool) -> int:
+    """Print what one ``citronshelf-instance`` knows.
+
+    Parameters
+    ----------
+    address : str
+        Its metrics address, ``ip:port``.
+    as_json : bool
+        Print one JSON object instead of a table.
+
+    Returns
+    -------
+    int
+        Exit status; ``DIFFERS`` (1) if it cannot route or is behind.
+    """
+    result = asyncio.run(instance_gauges.query_instance(address))
+    if result.is_error():
+        return fail_unreachable(address, result.error)
+    found = result.ok
+    if as_json:
+        print(json.dumps(found.values, indent=2))
+    else:
+        rows = [
+            (gauge.name, f'{found.values[gauge.name]:g}', gauge.meaning)
+            for gauge in instance_gauges.GAUGES
+            if gauge.name in found.values
+        ]
+        print('\n'.join(formatting.format_rows(rows)))
+    exits = program.ExitStatus
+    return int(exits.DONE if found.is_settled() else exits.DIFFERS)
+
+
+def fail_unreachable(address: str, error: str) -> int:
+    """Print why no status was fetched; return the exit status."""
+    reason = formatting.make_printable(
+        f'{address}: cannot fetch status: {error}'
+    )
+    return program.fail(reason, program.ExitStatus.NOT_REACHABLE)
+
+
 def json_lines(report: fleet_status.FleetReport) -> list[str]:
     """Return the lines of the report as one JSON object."""
     table = {
--- a/libs/citronshelf_client/tests/test_client.py
+++ b/libs/citronshelf_client/tests/test_client.py
@@ -234,6 +234,43 @@
         assert raised.value.code == 2
 
 
+class TestInstanceStatus:
+    """Shows what one instance knows, from its metrics."""
+
+    PAGE = (
+        b'# TYPE citronshelf_routable gauge\n'
+        b'citronshelf_routable 1\n'
+        b'citronshelf_behind_peers %d\n'
+        b'citronshelf_servers_leaving 3\n'
+        b'citronshelf_requests_total{kind="200"} 9\n'
+        b'citronshelf_unknown_gauge 2\n'
+    )
+
+    @pytest.mark.parametrize('behind', [0, 1])
+    def test_gauges_are_shown(self, capsys, standins, behind):
+        address = standins.open(lambda _address: self.PAGE % behind)
+        status, out, _ = run(capsys, 'status', '--instance', address)
+        assert status == behind
+        assert [row.split()[:2] for row in out.splitlines()] == [
+            ['routable', '1'],
+            ['behind_peers', str(behind)],
+            ['servers_leaving', '3'],
+        ]
+
+    def test_json(self, capsys, standins):
+        address = standins.open(lambda _address: self.PAGE % 0)
+        _, out, _ = run(capsys, 'status', '--json', '--instance', address)
+        assert json.loads(out)['servers_leaving'] == 3
+
+    def test_page_without_gauges_is_not_settled(self, capsys, standins):
+        address = standins.open(lambda _address: b'')
+        assert run(capsys, 'status', '--instance', address)[0] == 1
+
+    def test_unreachable(self, capsys):
+        status, _, err = run(capsys, 'status', '--instance', CLOSED_ADDRESS)
+        assert (status, 'cannot fetch status' in err) == (6, True)
+
+
 class TestExplain:
     """Shows the chosen and rejected routes and an instance's candidates."""
 
