tests: mutations of the retry budget and of announcements are detected

Nothing showed that the check of the sum, and the fuzz of what servers announce, can fail on the code as it is now.

Four mutations of each: lent credits that stay, too many credits, credits that do not expire, credits at the start; announcements that are forgotten, that come from an earlier process, times that are forgotten or shortened. All are detected. The tests of the shutdown say once how an instance is stopped; what they check is the same.

--- a/libs/citronshelf_instance/tests/test_retry_budget.py
+++ b/libs/citronshelf_instance/tests/test_retry_budget.py
@@ -118,20 +118,26 @@
         assert model.largest_excess() <= 0
 
 
+def run_starts_while_cut_off():
+    """Return a fleet that restarted in a cut, before servers refused."""
+    model = budget_model.FleetModel(36)
+    everyone = range(36)
+    model.run(everyone, rate=60, seconds=15, refused_share=0.05)
+    for number in everyone:
+        model.restart(number)
+        model.groups[number] = number if number < 14 else 36
+    model.run(everyone, rate=60, seconds=12, refused_share=0.05)
+    model.run(everyone, rate=83, seconds=8, refused_share=0.9)
+    return model
+
+
 class TestFleet:
     """The sum over the fleet holds whoever an instance knows."""
 
     # Guards against an instance that starts cut off, knows only itself and
     # takes the slack of the whole fleet.
     def test_starts_while_cut_off_spend_no_more_than_the_fleet_may(self):
-        model = budget_model.FleetModel(36)
-        everyone = range(36)
-        model.run(everyone, rate=60, seconds=15, refused_share=0.05)
-        for number in everyone:
-            model.restart(number)
-            model.groups[number] = number if number < 14 else 36
-        model.run(everyone, rate=60, seconds=12, refused_share=0.05)
-        model.run(everyone, rate=83, seconds=8, refused_share=0.9)
+        model = run_starts_while_cut_off()
         assert model.repeat_times_s
         assert model.largest_excess() <= 0
 
@@ -172,3 +178,43 @@
                 refused_share=rng.choice([0.0, 0.1, 1.0, 1.0]),
             )
         assert model.largest_excess() <= 0
+
+
+def keep_lent_credits(budget):
+    """Mutation: a lent credit stays with its lender."""
+    budget.expire(budget.clock())
+    return 1.0 if budget.expiries_s else None
+
+
+class TestMutations:
+    """The sum over the fleet is exceeded under each mutation."""
+
+    def test_lent_credits_that_stay_are_detected(self, monkeypatch):
+        monkeypatch.setattr(
+            retry_budget.RetryBudget, 'pop_credit', keep_lent_credits
+        )
+        assert run_starts_while_cut_off().largest_excess() > 0
+
+    @pytest.mark.parametrize(
+        'method, value',
+        [('credits_per_request', 0.5), ('credit_life_s', 60.0)],
+    )
+    def test_other_settings_are_detected(self, monkeypatch, method, value):
+        monkeypatch.setattr(
+            retry_budget.BudgetSettings, method, lambda settings: value
+        )
+        model = budget_model.FleetModel(36)
+        model.run(range(36), rate=60, seconds=60, refused_share=0.0)
+        model.run(range(36), rate=60, seconds=10, refused_share=1.0)
+        assert model.largest_excess() > 0
+
+    def test_credits_at_the_start_are_detected(self, monkeypatch):
+        original = budget_model.FleetModel.restart
+
+        def restart(model, number):
+            original(model, number)
+            for _ in range(10):
+                model.budgets[number].add_credit(model.clock.now + 30.0)
+
+        monkeypatch.setattr(budget_model.FleetModel, 'restart', restart)
+        assert run_starts_while_cut_off().largest_excess() > 0
--- a/libs/citronshelf_instance/tests/test_retry_loans.py
+++ b/libs/citronshelf_instance/tests/test_retry_loans.py
@@ -171,12 +171,10 @@
 
     def test_longer_validity_than_own_credits_have_is_cut(self):
         async def scenario(instance):
-            await instance.borrow([3000.0])
-            await instance.borrow([3000.0])
-            budget = instance.budgets.get(SERVICE)
-            instance.loans.receive(0, 1.0)
-            budget.add_credit(0.0)
-            return budget.expiries_s, SETTINGS.credit_life_s()
+            borrowing = asyncio.create_task(instance.loans.borrow(SERVICE))
+            await asyncio.sleep(0)
+            instance.reply(3000.0)
+            await borrowing
+            return instance.budgets.get(SERVICE).expiries_s
 
-        expiries_s, life_s = run(scenario)
-        assert all(expires_s <= life_s + 0.01 for expires_s in expiries_s)
+        assert run(scenario) == [SETTINGS.credit_life_s()]
--- a/libs/citronshelf_instance/tests/test_server_announcements.py
+++ b/libs/citronshelf_instance/tests/test_server_announcements.py
@@ -260,3 +260,52 @@
 
 class TestMachine(AnnouncementMachine.TestCase):
     """Announcements in any order, with registrations and time."""
+
+
+def forget_leaving(directory, state, request_id, source=''):
+    """Mutation: a server that announces its leaving stays in use."""
+    return not state.leaving
+
+
+def forget_time(directory, state, seconds, rng, request_id):
+    """Mutation: a server that asks for time gets requests at once."""
+
+
+def shorten_time(directory, state, seconds, rng, request_id):
+    """Mutation: a shorter time replaces one that ends later."""
+    state.retry_at_s = directory.clock() + seconds
+
+
+def believe_an_earlier_incarnation(directory, state, request_id, source=''):
+    """Mutation: announcements of ended incarnations count."""
+    current = directory.servers.get(state.server_id)
+    if current is None or current.leaving:
+        return False
+    current.leaving = True
+    return True
+
+
+class TestMutations:
+    """The machine detects each mutation of ``Directory``."""
+
+    @pytest.mark.parametrize(
+        'method, mutation',
+        [
+            ('record_leaving', forget_leaving),
+            ('record_leaving', believe_an_earlier_incarnation),
+            ('record_retry_later', forget_time),
+            ('record_retry_later', shorten_time),
+        ],
+    )
+    def test_is_detected(self, monkeypatch, method, mutation):
+        monkeypatch.setattr(registrations.Directory, method, mutation)
+        mutant_settings = settings(
+            AnnouncementMachine.TestCase.settings,
+            phases=['generate'],
+            print_blob=False,
+            max_examples=300,
+        )
+        with pytest.raises(AssertionError):
+            stateful.run_state_machine_as_test(
+                AnnouncementMachine, settings=mutant_settings
+            )
--- a/libs/citronshelf_instance/tests/test_shutdown.py
+++ b/libs/citronshelf_instance/tests/test_shutdown.py
@@ -23,6 +23,14 @@
     """Leave the running requests as they are."""
 
 
+def start_shutdown(server, *, grace_s):
+    """Shut a server down in a task that ends its running requests."""
+    table = {'accept_s': 0.1, 'grace_s': grace_s}
+    return asyncio.create_task(
+        shutdown.shut_down(server, table, server.end_requests)
+    )
+
+
 class TestCallers:
     """The shutdown ends once each caller has its responses."""
 
@@ -141,13 +149,7 @@
             async with ScriptedApplication({'/1': 9.0}, PATIENT) as app:
                 reader, writer = await app.connect()
                 writer.write(request[:-1])
-                ending = asyncio.create_task(
-                    shutdown.shut_down(
-                        app.server,
-                        {'accept_s': 0.2, 'grace_s': 1.2},
-                        app.server.end_requests,
-                    )
-                )
+                ending = start_shutdown(app.server, grace_s=1.2)
                 await asyncio.sleep(0.6)
                 writer.write(request[-1:])
                 head, _ = await read_response(reader)
@@ -170,13 +172,7 @@
                 reader, writer = await app.connect()
                 writer.write(request_bytes('/1', extra='X-Request-Id: r1\r\n'))
                 await asyncio.sleep(0.1)
-                ending = asyncio.create_task(
-                    shutdown.shut_down(
-                        app.server,
-                        {'accept_s': 0.1, 'grace_s': 3.0},
-                        app.server.end_requests,
-                    )
-                )
+                ending = start_shutdown(app.server, grace_s=3.0)
                 await asyncio.sleep(0.3)
                 writer.write(request_bytes('/2', extra='X-Request-Id: r2\r\n'))
                 await read_response(reader)
--- a/tests/test_killed_process.py
+++ b/tests/test_killed_process.py
@@ -1,5 +1,6 @@
 """One process on the request path is killed under load."""
 
+import contextlib
 import http.client
 import json
 import signal
@@ -8,8 +9,6 @@
 
 import pytest
 
-import fleet_factory
-
 
 def kill_under_load(fleet, load, name):
     """Kill one process during a load, and continue the load.
@@ -124,29 +123,62 @@
         return thread, results
 
 
+class StoppingInstance:
+    """The instance of a fleet, which is stopped as the platform does."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        [instance] = fleet.layout.instances
+        self.name = f'{instance.name}/entry'
+        self.address = instance.caller_address()
+        self.timer = threading.Timer(
+            GRACE_S, fleet.signal, (self.name, signal.SIGKILL)
+        )
+
+    def connect(self):
+        """Return a connection that has been used."""
+        connection = Connection(self.address)
+        assert connection.send('GET', '/ledger/shop-7', 'early')[0] == 200
+        return connection
+
+    def stop(self):
+        """Send SIGTERM, and SIGKILL at the end of the grace period."""
+        self.fleet.signal(self.name, signal.SIGTERM)
+        self.timer.start()
+
+    @contextlib.contextmanager
+    def stop_while_busy(self):
+        """Stop the instance while it works; go on once its listener is closed.
+
+        Yields a list that has the result of that work at the end.
+        """
+        busy, results = self.connect().send_later(
+            'GET', '/sheets/batch-1?ms=2500', 'busy'
+        )
+        time.sleep(0.2)
+        self.stop()
+        time.sleep(3 * BALANCER_LAG_S)
+        yield results
+        busy.join()
+
+    def executed_works(self):
+        """Return the works that servers have executed."""
+        return {line['work'] for line in self.fleet.logged_executions()}
+
+
 class TestGracePeriod:
     """Every request has an answer when the platform kills the process."""
 
     @pytest.fixture
     def stopping(self, fleets):
-        """Return a function that stops an instance as the platform does."""
-        fleet = fleets.start(
-            instances=1, balancer_lag_s=BALANCER_LAG_S, grace_s=GRACE_S
-        )
-        name = 'howrah-1/entry'
-        [address] = fleet_factory.caller_addresses(fleet).values()
-        timers = []
-
-        def stop():
-            fleet.signal(name, signal.SIGTERM)
-            timers.append(
-                threading.Timer(GRACE_S, fleet.signal, (name, signal.SIGKILL))
+        """Return a fleet of one instance that the platform may stop."""
+        stopping = StoppingInstance(
+            fleets.start(
+                instances=1, balancer_lag_s=BALANCER_LAG_S, grace_s=GRACE_S
             )
-            timers[0].start()
-
-        yield fleet, lambda: Connection(address), stop
-        for timer in timers:
-            timer.cancel()
+        )
+        yield stopping
+        stopping.timer.cancel()
 
     # Guards against a request that is passed on late in the grace period and
     # cut at its end without an answer.
@@ -154,58 +186,43 @@
     def test_late_request_that_may_last_too_long_is_not_run(
         self, stopping, method
     ):
-        fleet, connect, stop = stopping
         path = '/sheets/batch-2' if method == 'GET' else '/mint/issue'
-        kept = connect()
-        assert kept.send('GET', '/ledger/shop-7', 'early')[0] == 200
-        busy, _ = connect().send_later('GET', '/sheets/b-1?ms=2500', 'busy')
-        time.sleep(0.2)
-        stop()
-        time.sleep(3 * BALANCER_LAG_S)
-        answer = kept.send(method, f'{path}?ms=4000', 'late')
-        busy.join()
+        kept = stopping.connect()
+        with stopping.stop_while_busy():
+            answer = kept.send(method, f'{path}?ms=4000', 'late')
+        assert answer is not None
+        assert answer[:2] == (503, 'not-run')
+        assert 'late' not in stopping.executed_works()
+
+    # The same for a request that has an idempotency key.
+    def test_late_request_with_a_key_is_not_run(self, stopping):
+        kept = stopping.connect()
+        _, _, body = kept.send('POST', '/_citronshelf/keys', 'key')
+        key = json.loads(body)['key']
+        with stopping.stop_while_busy():
+            answer = kept.send(
+                'POST', '/mint/issue?ms=4000', 'late', Idempotency_Key=key
+            )
         assert answer is not None
         assert answer[:2] == (503, 'not-run')
-        works = {line['work'] for line in fleet.logged_executions()}
-        assert 'late' not in works
+        assert 'late' not in stopping.executed_works()
 
     def test_late_request_that_ends_in_time_is_served(self, stopping):
-        _, connect, stop = stopping
-        kept = connect()
-        assert kept.send('GET', '/ledger/shop-7', 'early')[0] == 200
-        busy, results = connect().send_later('GET', '/sheets/b-1?ms=2500', 'b')
-        time.sleep(0.2)
-        stop()
-        time.sleep(3 * BALANCER_LAG_S)
-        late = kept.send('GET', '/ledger/shop-7', 'late', X_Deadline_Ms='1000')
-        busy.join()
-        assert (late[:2], results[0][:2]) == ((200, 'done'), (200, 'done'))
+        kept = stopping.connect()
+        with stopping.stop_while_busy() as busy:
+            late = kept.send(
+                'GET', '/ledger/shop-7', 'late', X_Deadline_Ms='1000'
+            )
+        assert late[:2] == busy[0][:2] == (200, 'done')
 
+    # Guards against a request that still runs at the end of the grace period
+    # and gets no answer.
     def test_running_request_has_an_answer_at_the_end(self, stopping):
-        _, connect, stop = stopping
-        running, results = connect().send_later(
+        running, results = stopping.connect().send_later(
             'POST', '/mint/issue?ms=4800', 'long'
         )
         time.sleep(0.2)
-        stop()
+        stopping.stop()
         running.join()
         assert results[0] is not None
         assert results[0][:2] == (504, 'unknown')
-
-    def test_late_request_with_a_key_is_not_run(self, stopping):
-        fleet, connect, stop = stopping
-        kept = connect()
-        _, _, body = kept.send('POST', '/_citronshelf/keys', 'key')
-        key = json.loads(body)['key']
-        busy, _ = connect().send_later('GET', '/sheets/b-1?ms=2500', 'busy')
-        time.sleep(0.2)
-        stop()
-        time.sleep(3 * BALANCER_LAG_S)
-        answer = kept.send(
-            'POST', '/mint/issue?ms=4000', 'late', Idempotency_Key=key
-        )
-        busy.join()
-        assert answer is not None
-        assert answer[:2] == (503, 'not-run')
-        works = {line['work'] for line in fleet.logged_executions()}
-        assert 'late' not in works
