--- a/libs/citronshelf_instance/tests/test_credit_messages.py
+++ b/libs/citronshelf_instance/tests/test_credit_messages.py
@@ -4,7 +4,7 @@
 
 from citronshelf_instance import peer_messages
 from citronshelf_instance import peers
-import test_peers
+import peer_fleet
 
 
 class TestCreditMessages:
@@ -12,7 +12,7 @@
 
     async def ask(self, clock, lend, count=30, *, is_remote=False):
         """Ask once; return how many were asked, lenders and replies."""
-        fleet = test_peers.Fleet(clock, count=count)
+        fleet = peer_fleet.Fleet(clock, count=count)
         await fleet.step(rounds=10)
         lenders, replies = [], []
         for number, one in enumerate(fleet.instances):
@@ -49,7 +49,7 @@
         assert (asked, lenders) == (0, [])
 
     def test_messages_are_small(self, clock):
-        fleet = test_peers.Fleet(clock, count=1)
+        fleet = peer_fleet.Fleet(clock, count=1)
         own = fleet.instances[0].own
         for message in (
             peer_messages.RetryCreditRequest(own, 'ledger-view', 10**6),
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -1,135 +1,19 @@
-"""Tests of messages between instances, on links without delay."""
+"""Tests of membership, evidence and announcements between instances."""
 
 import asyncio
 import random
-from typing import NamedTuple
 
 import pytest
 
 from citronshelf_common import fleet
 from citronshelf_instance import configuration
 from citronshelf_instance import evidence
-from citronshelf_instance import membership
 from citronshelf_instance import peer_messages
 from citronshelf_instance import peers
 from citronshelf_instance import published
-from citronshelf_instance import reader_group
 from citronshelf_instance import registrations
 from instance_builders import make_configuration
-from instance_builders import make_registration
-
-
-class FakeRoute(NamedTuple):
-    """Connection that an instance opened, at its other end."""
-
-    address: fleet.Address
-
-
-class FakeNetwork:
-    """Delivers messages at once, except from and to unreachable addresses.
-
-    On stale connections, which lead to a process that has ended without a
-    close, messages get lost. They are (sender, receiver) addresses.
-    """
-
-    def __init__(self):
-        self.links = {}
-        self.unreachable = set()
-        self.stale = set()
-        self.sent = 0
-
-
-class FakeLinks:
-    """Links of one instance on a ``FakeNetwork``."""
-
-    def __init__(self, network, address):
-        self.network = network
-        self.address = address
-        self.on_message = None
-        self.disconnected = []
-        network.links[address] = self
-
-    def connect(self, address):
-        pass
-
-    def disconnect(self, address):
-        self.disconnected.append(address)
-        self.network.stale.discard((self.address, address))
-
-    def send(self, route, data):
-        network = self.network
-        is_reply = isinstance(route, FakeRoute)
-        address = route.address if is_reply else route
-        if network.unreachable & {address, self.address}:
-            return False
-        network.sent += 1
-        if not is_reply and (self.address, address) in network.stale:
-            return True
-        end = network.links.get(address)
-        if end is not None:
-            source = self.address if is_reply else FakeRoute(self.address)
-            asyncio.get_running_loop().call_soon(end.on_message, source, data)
-        return end is not None
-
-
-class Fleet:
-    """Instances on one network; the first ``seeds`` of them are seeds."""
-
-    def __init__(self, clock, count=6, seeds=2):
-        self.clock = clock
-        self.network = FakeNetwork()
-        addresses = [
-            fleet.Address('127.0.0.1', 7000 + n) for n in range(count)
-        ]
-        self.instances = [
-            self.make(n, addresses[:seeds], addresses[n]) for n in range(count)
-        ]
-
-    def make(self, number, seeds, address):
-        region = 'kolkata' if number % 3 else 'siliguri'
-        own = peer_messages.Member(
-            f'i{number}', 'n', address, fleet.Location(region, 'z'), 0.0
-        )
-        rng = random.Random(number)
-        directory = registrations.Directory(clock=self.clock)
-        state = published.PublishedState(
-            directory=directory, clock=self.clock, rng=rng
-        )
-        entries = (make_registration('s1'), make_registration('s2'))
-        state.replace(
-            configuration.Snapshot(1, make_configuration(revision=1), entries),
-            source='test',
-        )
-        members = membership.Membership(own=own, clock=self.clock, rng=rng)
-        return peers.Peers(
-            own=own,
-            seeds=list(seeds),
-            links=FakeLinks(self.network, address),
-            state=state,
-            members=members,
-            readers=reader_group.ReaderGroup(
-                members=members, list_age_s=state.age_s
-            ),
-            clock=self.clock,
-            rng=rng,
-        )
-
-    async def step(self, seconds=0.5, rounds=1):
-        """Run the periodic work of every instance ``rounds`` times.
-
-        The clock advances by ``seconds`` before each round.
-        """
-        for _ in range(rounds):
-            self.clock.advance(seconds)
-            for one in self.instances:
-                one.send_joins()
-                one.members.expire()
-                one.send_heartbeats()
-                await asyncio.sleep(0)
-            await asyncio.sleep(0.005)
-
-    def counts(self):
-        return [one.members.count() for one in self.instances]
+import peer_fleet
 
 
 def failure_probability(instance, server_id='s1'):
@@ -143,7 +27,7 @@
 
     def test_all_instances_become_members(self, clock):
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             return group.counts()
 
@@ -151,7 +35,7 @@
 
     def test_one_seed_suffices(self, clock):
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             group.network.unreachable.add(fleet.Address('127.0.0.1', 7000))
             await group.step(rounds=6)
             return group.counts()
@@ -160,7 +44,7 @@
 
     def test_unreachable_instance_expires(self, clock):
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             group.network.unreachable.add(fleet.Address('127.0.0.1', 7004))
             await group.step(seconds=2.0, rounds=14)
@@ -171,7 +55,7 @@
 
     def test_leaving_instance_is_removed_at_once(self, clock):
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             group.instances[4].leave()
             await asyncio.sleep(0.01)
@@ -183,7 +67,7 @@
         """It still runs until its requests have ended."""
 
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             group.instances[0].leave()
             await group.step(rounds=6)
@@ -193,9 +77,9 @@
 
     def test_members_are_found_after_a_restart_of_all(self, clock):
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
-            again = Fleet(clock)
+            again = peer_fleet.Fleet(clock)
             await again.step(rounds=3)
             return again.counts()
 
@@ -204,7 +88,7 @@
 
 async def fleet_after_observation(clock, signal, slowness=0.0):
     """Return a fleet just after one instance made an observation."""
-    group = Fleet(clock)
+    group = peer_fleet.Fleet(clock)
     await group.step(rounds=3)
     group.instances[1].record_observation(
         evidence.Observation('s1', signal, slowness)
@@ -236,7 +120,7 @@
         monkeypatch.setattr(peers, 'EVIDENCE_DELAY_S', 60.0)
 
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             sent_after_observation = []
             for _ in range(6):
@@ -268,7 +152,7 @@
         monkeypatch.setattr(peers, 'EVIDENCE_DELAY_S', 0.1)
 
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             before = group.network.sent
             for _ in range(20):
@@ -291,7 +175,7 @@
         monkeypatch.setattr(peers, 'EVIDENCE_DELAY_S', 0.02)
 
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             sent_s = clock()
             clock.advance(0.2)
@@ -312,7 +196,7 @@
 
     def test_no_observation_of_a_burst_is_lost(self, clock):
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             received = []
             other = group.instances[2]
@@ -345,7 +229,7 @@
 
     def test_nothing_is_sent_after_close(self, clock):
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             group.instances[1].record_observation(
                 evidence.Observation('s1', evidence.HealthSignal.FAILED, 0.0)
@@ -359,7 +243,7 @@
 
     def test_invalid_message_is_ignored(self, clock):
         async def run():
-            group = Fleet(clock, count=2)
+            group = peer_fleet.Fleet(clock, count=2)
             group.instances[0].receive('route', b'\x00junk')
             group.instances[0].receive('route', b'')
             return group.instances[0].members.count()
@@ -372,7 +256,7 @@
 
     def test_change_is_announced_to_a_few_peers(self, clock):
         async def run():
-            group = Fleet(clock)
+            group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             received = []
             for one in group.instances:
@@ -391,240 +275,6 @@
         )
 
 
-class TestReports:
-    """Readers of the store report to the instances of their region."""
-
-    @pytest.fixture(autouse=True)
-    def small_groups(self, monkeypatch):
-        monkeypatch.setattr(reader_group, 'MIN_SHARING_INSTANCES', 3)
-        monkeypatch.setattr(reader_group, 'READERS', 1)
-
-    def report(
-        self,
-        clock,
-        delta,
-        *,
-        is_current=True,
-        prepare=None,
-        confirmed_ago_s=0.0,
-    ):
-        """Let the reader of each region report; return the instances.
-
-        The store confirmed the reader's state ``confirmed_ago_s`` before.
-        """
-
-        async def run():
-            group = Fleet(clock, count=9)
-            await group.step(rounds=4)
-            for one in group.instances:
-                one.is_store_current = lambda: is_current
-            if prepare is not None:
-                prepare(group)
-            for one in group.instances:
-                if one.own.location.region == 'kolkata':
-                    if one.readers.is_reader():
-                        one.state.directory.confirm(confirmed_ago_s)
-                    one.send_report(delta)
-            await asyncio.sleep(0.02)
-            return group.instances
-
-        return asyncio.run(run())
-
-    def of_region(self, instances, region):
-        return [i for i in instances if i.own.location.region == region]
-
-    def test_delta_reaches_the_region_of_its_reader(self, clock):
-        delta = configuration.RegistrationDelta(1, 4, {'s2': None})
-        instances = self.report(clock, delta)
-        local = self.of_region(instances, 'kolkata')
-        followers = [one for one in local if not one.readers.is_reader()]
-        assert len(followers) == len(local) - 1
-        for one in followers:
-            assert list(one.state.directory.servers) == ['s1']
-            assert one.readers.is_covered()
-        for one in self.of_region(instances, 'siliguri'):
-            assert list(one.state.directory.servers) == ['s1', 's2']
-            assert not one.readers.is_covered()
-
-    def test_reader_without_recent_response_covers_nobody(self, clock):
-        limit_s = reader_group.FOLLOWER_AGE_LIMIT_S
-        instances = self.report(clock, None, confirmed_ago_s=limit_s)
-        assert not any(one.readers.is_covered() for one in instances)
-        instances = self.report(clock, None, confirmed_ago_s=limit_s - 0.1)
-        followers = [
-            one
-            for one in self.of_region(instances, 'kolkata')
-            if not one.readers.is_reader()
-        ]
-        assert all(one.readers.is_covered() for one in followers)
-
-    def test_nothing_is_reported_while_the_store_is_away(self, clock):
-        instances = self.report(clock, None, is_current=False)
-        assert not any(one.readers.is_covered() for one in instances)
-
-    def test_delta_with_a_gap_before_it_must_be_read(self, clock):
-        behind = []
-
-        def observe(group):
-            for one in group.instances:
-                one.on_peer_revision = behind.append
-
-        delta = configuration.RegistrationDelta(3, 4, {'s2': None})
-        instances = self.report(clock, delta, prepare=observe)
-        for one in instances:
-            assert list(one.state.directory.servers) == ['s1', 's2']
-            assert one.state.revision == 1
-        followers = len(self.of_region(instances, 'kolkata')) - 1
-        assert behind == [3] * followers
-
-    def test_full_read_of_a_reader_shows_a_gap(self, clock):
-        """It may hold changes that were not reported."""
-        behind = []
-
-        def read_again(group):
-            for one in group.instances:
-                one.on_peer_revision = behind.append
-                if one.readers.is_reader():
-                    one.state.replace(
-                        configuration.Snapshot(9, None, ()), source='store'
-                    )
-
-        self.report(clock, None, prepare=read_again)
-        assert behind
-        assert set(behind) == {9}
-
-    def test_revision_advances_while_nothing_changes(self, clock):
-        def advance(group):
-            for one in group.instances:
-                if one.readers.is_reader():
-                    one.state.apply(configuration.Changes(8, None, {}))
-
-        instances = self.report(clock, None, prepare=advance)
-        for one in self.of_region(instances, 'kolkata'):
-            assert one.state.revision == 8
-            assert list(one.state.directory.servers) == ['s1', 's2']
-
-    def test_entries_that_lapsed_in_an_outage_are_kept(self, clock):
-        def recover(group):
-            for one in group.instances:
-                if one.readers.is_reader():
-                    one.state.directory.record_store_recovery()
-
-        delta = configuration.RegistrationDelta(1, 4, {'s2': None})
-        instances = self.report(clock, delta, prepare=recover)
-        for one in self.of_region(instances, 'kolkata'):
-            assert 's2' in one.state.directory.servers
-
-
-class TestState:
-    """An instance that cannot read the store fetches from another one."""
-
-    def test_newer_state_is_applied(self, clock):
-        async def run():
-            group = Fleet(clock)
-            await group.step(rounds=3)
-            newer = configuration.Snapshot(
-                9, make_configuration(revision=8), ()
-            )
-            for number in (2, 4, 5):
-                group.instances[number].state.replace(newer, source='test')
-            group.instances[1].fetch_state()
-            await asyncio.sleep(0.02)
-            return group.instances[1].state
-
-        state = asyncio.run(run())
-        assert (state.revision, state.configuration.revision) == (9, 8)
-        assert state.directory.servers == {}
-
-    def test_copy_names_a_configuration_that_could_not_be_read(self, clock):
-        async def run():
-            group = Fleet(clock)
-            await group.step(rounds=3)
-            newer = configuration.Snapshot(
-                9, make_configuration(revision=5), (), unread_configuration=8
-            )
-            for number in (2, 4, 5):
-                group.instances[number].state.replace(newer, source='test')
-            group.instances[1].fetch_state()
-            await asyncio.sleep(0.02)
-            return group.instances[1].state
-
-        state = asyncio.run(run())
-        assert state.revision == 9
-        assert state.lacks_configuration()
-
-    def test_older_state_is_ignored(self, clock):
-        async def run():
-            group = Fleet(clock)
-            await group.step(rounds=3)
-            newer = configuration.Snapshot(
-                9, make_configuration(revision=8), ()
-            )
-            group.instances[1].state.replace(newer, source='test')
-            group.instances[1].fetch_state()
-            await asyncio.sleep(0.02)
-            return group.instances[1].state.revision
-
-        assert asyncio.run(run()) == 9
-
-
-class TestStateAfterOutage:
-    """Entries that lapsed in an outage of the store may still return.
-
-    Guards against an instance without any server: it fetched the state from
-    one that had read that all entries had lapsed.
-    """
-
-    def fetch(self, clock, prepare=lambda group: None, grace_s=0.0):
-        """Return the state of an instance after it fetched from others.
-
-        The others have read, after an outage, that all entries lapsed.
-        """
-
-        async def run():
-            group = Fleet(clock)
-            await group.step(rounds=3)
-            for number in (2, 4, 5):
-                state = group.instances[number].state
-                state.directory.record_store_recovery()
-                state.apply(
-                    configuration.Changes(9, None, {'s1': None, 's2': None})
-                )
-            prepare(group)
-            clock.advance(0.5)
-            group.instances[1].fetch_state()
-            await asyncio.sleep(0.02)
-            clock.advance(grace_s)
-            state = group.instances[1].state
-            state.directory.drop_lapsed()
-            return state
-
-        return asyncio.run(run())
-
-    def test_servers_stay_in_use(self, clock):
-        state = self.fetch(clock)
-        assert state.revision == 9
-        assert len(state.directory.usable('ledger')) == 2
-
-    def test_started_instance_uses_them(self, clock):
-        def restart(group):
-            one = group.instances[1]
-            fresh = registrations.Directory(clock=clock)
-            one.state = published.PublishedState(
-                directory=fresh, clock=clock, rng=random.Random(1)
-            )
-
-        state = self.fetch(clock, restart)
-        assert state.is_routable()
-        assert len(state.directory.usable('ledger')) == 2
-
-    def test_servers_leave_when_the_grace_period_of_the_sender_ends(
-        self, clock
-    ):
-        grace_s = registrations.LAPSED_GRACE_S - 0.5
-        assert self.fetch(clock, grace_s=grace_s).directory.servers == {}
-
-
 class TestRestartAfterPowerLoss:
     """The others' connections to the ended process stay open for seconds.
 
@@ -637,7 +287,7 @@
 
         It knows no state, and nobody has noticed that its process ended.
         """
-        group = Fleet(clock)
+        group = peer_fleet.Fleet(clock)
         await group.step(rounds=3)
         network = group.network
         old = group.instances[1]
