standins: the backend server announces that it leaves and asks for time

The stand-in spoke X-Draining only, which citronshelf-instance does not read, so that what servers announce could be tried with scripted servers alone. It adds X-Leaving while it drains or by the fault announce_leaving, and Retry-After to its refusals by the fault retry_after_s. Tests: test_backend_program.py, two of which failed before.

--- a/libs/citronshelf_standins/citronshelf_standins/backend_program.py
+++ b/libs/citronshelf_standins/citronshelf_standins/backend_program.py
@@ -39,12 +39,19 @@
             self.set_header('X-Request-Id', request_id)
 
     def set_load_headers(self) -> None:
-        """Set ``X-Load`` and, while draining, ``X-Draining``."""
+        """Set ``X-Load`` and what the server announces about itself.
+
+        That is ``X-Draining`` for ``citronshelf-entry`` and ``X-Leaving`` for
+        ``citronshelf-instance``.
+        """
         load = self.worker.load()
         text = 'busy={busy} slots={slots} queue={queue}'.format(**load)
         self.set_header('X-Load', text)
         if self.worker.draining:
             self.set_header('X-Draining', '1')
+        active = self.worker.active_faults()
+        if self.worker.draining or active.get('announce_leaving'):
+            self.set_header('X-Leaving', '1')
 
     def compute_etag(self):
         """Return None, so that responses carry no ETag."""
@@ -99,9 +106,15 @@
         await self.respond(request, result.ok)
 
     def refuse(self, reason: str) -> None:
-        """Respond with 503 and the reason in ``X-Not-Run``."""
+        """Respond with 503 and the reason in ``X-Not-Run``.
+
+        A fault adds ``Retry-After``.
+        """
         self.set_status(503)
         self.set_header('X-Not-Run', reason)
+        retry_after_s = self.worker.active_faults().get('retry_after_s')
+        if retry_after_s is not None:
+            self.set_header('Retry-After', f'{retry_after_s:g}')
         self.set_load_headers()
         self.finish(f'not run: {reason}\n')
 
--- a/libs/citronshelf_standins/citronshelf_standins/faults.py
+++ b/libs/citronshelf_standins/citronshelf_standins/faults.py
@@ -44,6 +44,11 @@
     shed : bool
         Refuse all arriving work with 503 and ``X-Not-Run``; work that is
         already queued is still executed.
+    retry_after_s : float
+        Time that refusals announce in ``Retry-After``.
+    announce_leaving : bool
+        Announce in each response that the server is leaving, while its health
+        stays ok.
     """
 
     fail_share: Fraction
@@ -57,6 +62,8 @@
     health: str
     load_busy: int
     shed: bool
+    retry_after_s: NonNegative
+    announce_leaving: bool
 
 
 def active_faults(faults: ServerFaults, now_s: float) -> ServerFaults:
--- a/libs/citronshelf_standins/tests/test_backend_program.py
+++ b/libs/citronshelf_standins/tests/test_backend_program.py
@@ -70,9 +70,21 @@
         response = self.io_loop.run_sync(lambda: self.post('a'))
         assert response.headers['X-Not-Run'] == 'draining'
         assert response.headers['X-Draining'] == '1'
+        assert response.headers['X-Leaving'] == '1'
+        assert 'Retry-After' not in response.headers
         health = json.loads(self.fetch('/_server/health').body)
         assert health['status'] == 'draining'
 
+    def test_announcements_are_faults(self):
+        self.set_faults(announce_leaving=True)
+        response = self.io_loop.run_sync(lambda: self.post('a'))
+        assert (response.code, response.headers['X-Leaving']) == (200, '1')
+        assert 'X-Draining' not in response.headers
+        self.set_faults(shed=True, retry_after_s=1.5)
+        response = self.io_loop.run_sync(lambda: self.post('b'))
+        assert (response.code, response.headers['Retry-After']) == (503, '1.5')
+        assert 'X-Leaving' not in response.headers
+
     def test_cancellation_keeps_the_count(self):
         async def cancelled():
             pending = self.post('a', '?ms=5000')
