instance: decide a denied retry once

Cause: check_for_stall asked for a retry whenever a response was overdue, also when no dispatch ran any more. A retry that had been denied, or whose loan had brought nothing, was then decided, logged and counted again. Ruled out: a second dispatch; start() had denied both, nothing was sent. Change: an overdue response is hedged only while a dispatch runs.

--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -332,7 +332,8 @@
     def check_for_stall(self) -> None:
         """Record a stall and hedge if a response is overdue.
 
-        Only idempotent requests are hedged.
+        Only idempotent requests are hedged, and only while a dispatch runs:
+        after the last one has ended, its retry has been decided.
         """
         if (
             self.overdue_at_s is None
@@ -342,7 +343,7 @@
         self.overdue_at_s = None
         for running_dispatch in self.running.values():
             running_dispatch.record_stall()
-        if self.route.idempotent:
+        if self.route.idempotent and self.running:
             self.start(is_retry=True)
 
     def time_out(self) -> outcomes.Outcome:
