instance: send the list of members to those that ask for it

Cause: an instance sent Join to every member of its region that it had not heard, and each answered with all members that it knew. In a region of 146 that is 73 lists an instance at a start of all, 25 KB each in a fleet of 292; bytes an instance grew with the square of the region. Ruled out: a new message for introductions; instances of earlier builds would ignore it and learn of a started instance only by chance. Change: members of the region are greeted with a heartbeat without members, which is answered alike; two of them a round get a Join. Seeds that are not members get one every 2 s instead of 8 s: in virtual time two seeds did not know each other 4 s after a start of 96. Conclusion: the lists no longer grow with the square of a region; the greetings between all pairs of it still do.

--- a/libs/citronshelf_instance/citronshelf_instance/membership.py
+++ b/libs/citronshelf_instance/citronshelf_instance/membership.py
@@ -95,6 +95,15 @@
         known = self.known.get(instance)
         return known.member if known is not None else None
 
+    def is_direct(self, member: peer_messages.Member) -> bool:
+        """Return whether a message of this incarnation came from itself."""
+        known = self.known.get(member.instance)
+        return (
+            known is not None
+            and known.direct
+            and known.member.nonce == member.nonce
+        )
+
     def remove(self, instance: str) -> None:
         """Remove an instance that left or expired."""
         known = self.known.pop(instance, None)
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -24,6 +24,10 @@
 HEARTBEAT_INTERVAL_S = 2.0
 HEARTBEAT_PEERS = 2
 HEARTBEAT_MEMBERS = 6
+# Instances that are asked for all the members they know, of those to which
+# this instance introduces itself in one round. A list has 25 KB in a fleet of
+# 300 instances.
+LIST_PEERS = 2
 # Longer than within the region: traffic between regions is billed by volume.
 REMOTE_HEARTBEAT_INTERVAL_S = 8.0
 # Evidence is sent to at most this many instances, so that its cost per
@@ -146,28 +150,36 @@
             await asyncio.sleep(interval_s * self.rng.uniform(0.8, 1.2))
 
     def send_joins(self) -> bool:
-        """Send ``Join`` to instances that may not know this one.
+        """Introduce this instance to others that may not know it.
 
-        These are the seeds while no member is known, and the members of the
-        region from which no message was received directly. Returns whether a
-        message was queued.
+        While no member is known, requests the members from the seeds. After
+        that, the members of the region from which no message was received
+        directly get a heartbeat, and ``LIST_PEERS`` of them a ``Join``: the
+        seeds may have known few members. Returns whether a message was queued.
         """
-        message = peer_messages.Join(self.own, self.state.change_revision)
+        join = peer_messages.Join(self.own, self.state.change_revision)
+        if not self.members.known:
+            return any([self.send(seed, join) for seed in self.seeds])
         addresses = [
             peer.member.address
             for peer in self.members.in_region()
             if not peer.direct
         ]
-        if not self.members.known:
-            addresses = self.seeds
-        return any([self.send(address, message) for address in addresses])
+        asked = self.rng.sample(addresses, min(LIST_PEERS, len(addresses)))
+        greeting = self.make_heartbeat(0)
+        return any(
+            [
+                self.send(address, join if address in asked else greeting)
+                for address in addresses
+            ]
+        )
 
     def send_heartbeats(self) -> None:
         """Send heartbeats to a few random instances of the region.
 
         If instances of other regions are known, also sends a heartbeat to one
-        of them every ``REMOTE_HEARTBEAT_INTERVAL_S``, and a ``Join`` to a seed
-        that is not a member.
+        of them every ``REMOTE_HEARTBEAT_INTERVAL_S``. A seed that is not a
+        member gets a ``Join``.
         """
         local_members = self.members.in_region()
         chosen = self.rng.sample(
@@ -178,7 +190,7 @@
         if remote_members and now >= self.next_remote_heartbeat_s:
             self.next_remote_heartbeat_s = now + REMOTE_HEARTBEAT_INTERVAL_S
             chosen.append(self.rng.choice(remote_members))
-            self.join_unknown_seed()
+        self.join_unknown_seed()
         message = self.make_heartbeat(HEARTBEAT_MEMBERS)
         for peer in chosen:
             self.send(peer.member.address, message)
@@ -186,7 +198,8 @@
     def join_unknown_seed(self) -> None:
         """Send ``Join`` to a seed that is not a member.
 
-        This joins groups of instances that started from different seeds.
+        This joins groups of instances that started from different seeds, and
+        seeds that became members through others before they heard each other.
         """
         known_addresses = {
             peer.member.address for peer in self.members.known.values()
@@ -283,8 +296,11 @@
             self.members.remove(message.sender.instance)
             self.links.disconnect(message.sender.address)
             return
+        is_introduced = self.members.is_direct(message.sender)
         self.record_member(message.sender, self.members.record_message, route)
         self.handle(message, route)
+        if not is_introduced and isinstance(message, peer_messages.Heartbeat):
+            self.answer_greeting(message.sender, route)
 
     def record_member(
         self, member: peer_messages.Member, record, route=None
@@ -308,6 +324,15 @@
         if route != before.address:
             self.links.disconnect(before.address)
 
+    def answer_greeting(self, sender: peer_messages.Member, route) -> None:
+        """Reply to the first heartbeat of an instance, which may be waiting.
+
+        Until it receives a message directly, it introduces itself again.
+        """
+        if sender.location.region == self.own.location.region:
+            self.links.connect(sender.address)
+        self.reply(route, self.make_heartbeat(0))
+
     def handle(self, message, route) -> None:
         """Handle a message whose sender has been recorded as a member."""
         match message:
--- /dev/null
+++ b/libs/citronshelf_instance/tests/test_join_traffic.py
@@ -0,0 +1,104 @@
+"""Bytes that instances send to find each other, in virtual time."""
+
+import asyncio
+
+import pytest
+
+from citronshelf_instance import peer_messages
+from citronshelf_instance import peers
+from citronshelf_traffic import virtual_loop
+import virtual_fleet
+from virtual_fleet import SEEDS
+
+# Time in which all instances of a region find each other.
+START_S = 4.0
+# Heartbeats with more members than the periodic ones are replies to `Join`.
+LIST_LENGTH = peers.HEARTBEAT_MEMBERS + 1
+
+
+def run_virtual(scenario):
+    with asyncio.Runner(loop_factory=virtual_loop.VirtualLoop) as runner:
+        return runner.run(scenario)
+
+
+async def start_region(network, count):
+    """Start instances at the same moment; return them after START_S."""
+    store = virtual_fleet.SilentStore()
+    processes = [
+        virtual_fleet.Process(network, number, 'n1', store)
+        for number in range(count)
+    ]
+    for process in processes:
+        process.tasks = [asyncio.create_task(process.peers.run())]
+    await asyncio.sleep(START_S)
+    return processes
+
+
+async def stop(processes):
+    for process in processes:
+        await process.stop()
+
+
+def count_lists(messages):
+    """Return how many messages have a list of members."""
+    return sum(
+        isinstance(message, peer_messages.Heartbeat)
+        and len(message.members) >= LIST_LENGTH
+        for message in messages
+    )
+
+
+class TestSimultaneousStart:
+    """Load pattern: all instances of a region start at the same moment.
+
+    Guards against a region in which each pair of instances sent a list of all
+    members: 360 KB an instance at 146, growing with the square of the region.
+    """
+
+    async def measure(self, count):
+        network = virtual_fleet.SlowNetwork()
+        processes = await start_region(network, count)
+        members = [process.peers.members.count() for process in processes]
+        await stop(processes)
+        sent_bytes = sum(
+            len(peer_messages.CODEC.encode(message))
+            for message in network.sent
+        )
+        return members, sent_bytes / count, network.sent
+
+    def test_bytes_of_an_instance_grow_no_faster_than_the_region(self):
+        small = run_virtual(self.measure(24))
+        large = run_virtual(self.measure(96))
+        assert large[1] <= 96 / 24 * small[1]
+
+    @pytest.mark.parametrize('count', [6, 24, 96])
+    def test_all_instances_find_each_other(self, count):
+        members, _, _ = run_virtual(self.measure(count))
+        assert members == [count] * count
+
+    def test_each_instance_gets_a_few_lists(self):
+        _, _, sent = run_virtual(self.measure(96))
+        assert count_lists(sent) <= 96 * (SEEDS + peers.LIST_PEERS)
+
+
+class TestRestart:
+    """Load pattern: one instance of a running region is replaced."""
+
+    def test_restarted_instance_gets_a_few_lists(self):
+        async def restart():
+            network = virtual_fleet.SlowNetwork()
+            processes = await start_region(network, 48)
+            await processes[9].stop()
+            network.sent.clear()
+            again = virtual_fleet.Process(
+                network, 9, 'n2', virtual_fleet.SilentStore()
+            )
+            again.tasks = [asyncio.create_task(again.peers.run())]
+            await asyncio.sleep(START_S)
+            count = again.peers.members.count()
+            await stop([*processes, again])
+            return count, count_lists(network.sent)
+
+        count, lists = run_virtual(restart())
+        assert count == 48
+        assert 0 < lists <= SEEDS + peers.LIST_PEERS
