instance: exchange evidence by zones, and ages of members

Cause: observations went to 64 random instances of a region, 44% of 145, so that most instances learned of a failing server by failures of their own, and three of four messages crossed zones. Without requests, members expired while they lived: a heartbeat had 6 members a second, of 291, and each had to be heard of within 20 s (24 instances: 14 known after a minute; 100: 11). Heartbeats to other regions went to random instances without a connection and were dropped. Ruled out: a longer expiry, which the fleet outgrows; direct messages to all, which cost 2.3 times the messages. Change: observations and departures of servers go to the own zone and to one of three relays of each other zone, which passes them on, merged over 20 ms. Heartbeats bring the ages of members (7 bytes each); unknown members are requested from the sender, departures are passed on. Instances keep connections to their zone, relays, readers and 8 instances of other regions. A remaining time under 1 ms no longer makes a follower wait in a loop.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -170,8 +170,8 @@
             names=self.names,
             budgets=self.budgets,
             borrow=self.loans.borrow,
-            observe=self.peers.record_observation,
-            report_leaving=self.peers.report_leaving,
+            observe=self.peers.evidence.record,
+            report_leaving=self.peers.evidence.report_leaving,
             metrics=self.metrics,
             clock=clock,
             max_response_bytes=min(
--- a/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
@@ -2,6 +2,7 @@
 
 from typing import Annotated
 from typing import NamedTuple
+import zlib
 
 import msgspec
 
@@ -12,11 +13,14 @@
 
 MAX_MEMBERS = 512
 MAX_OBSERVATIONS = 256
+MAX_AGES = 8192
 
 ShortText = Annotated[str, msgspec.Meta(max_length=128)]
 Revision = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 RequestNumber = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 AgeS = Annotated[float, msgspec.Meta(ge=0)]
+# Checksum of the name and nonce of an instance.
+MemberKey = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
 
 
 class Member(NamedTuple):
@@ -42,6 +46,10 @@
     age_s: AgeS
 
 
+Ages = Annotated[
+    dict[MemberKey, Annotated[int, msgspec.Meta(ge=0)]],
+    msgspec.Meta(max_length=MAX_AGES),
+]
 Members = Annotated[tuple[Member, ...], msgspec.Meta(max_length=MAX_MEMBERS)]
 
 
@@ -71,8 +79,45 @@
     members: Members
 
 
+class MemberAges(NamedTuple):
+    """Tells when members were last heard, without describing them.
+
+    Keeps instances from dropping members that others still hear, and from
+    keeping those that left. An entry has 7 bytes, a ``Member`` about 85.
+
+    Attributes
+    ----------
+    sender : Member
+    tenths : dict of int to int
+        Tenths of a second since the last message of each member that the
+        sender knows of, by ``member_key``.
+    departed_tenths : dict of int to int
+        Tenths of a second since the departure of members that left.
+    """
+
+    sender: Member
+    tenths: Ages
+    departed_tenths: Ages
+
+
+class MembersRequest(NamedTuple):
+    """Requests the descriptions of some members; the reply is a heartbeat.
+
+    Attributes
+    ----------
+    sender : Member
+    keys : tuple of int
+        Keys of the members as in ``MemberAges``.
+    """
+
+    sender: Member
+    keys: Annotated[
+        tuple[MemberKey, ...], msgspec.Meta(max_length=MAX_MEMBERS)
+    ]
+
+
 class Evidence(NamedTuple):
-    """Observations of servers, for the instances of the region.
+    """Observations of servers.
 
     Attributes
     ----------
@@ -90,6 +135,17 @@
     ]
 
 
+class EvidenceForZone(NamedTuple):
+    """``Evidence`` that the receiver passes on to its availability zone."""
+
+    sender: Member
+    revision: Revision
+    observations: Annotated[
+        tuple[evidence.Observation, ...],
+        msgspec.Meta(max_length=MAX_OBSERVATIONS),
+    ]
+
+
 class FetchState(NamedTuple):
     """Requests the published state if it is newer than a revision."""
 
@@ -148,6 +204,14 @@
     started_ms: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
+class ServerLeavingForZone(NamedTuple):
+    """``ServerLeaving`` that the receiver passes on to its zone."""
+
+    sender: Member
+    server_id: Annotated[str, msgspec.Meta(max_length=200)]
+    started_ms: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class RetryCreditRequest(NamedTuple):
     """Asks for a credit of the retry budget of a service.
 
@@ -199,5 +263,14 @@
         ServerLeaving,
         RetryCreditRequest,
         RetryCreditReply,
+        MemberAges,
+        MembersRequest,
+        EvidenceForZone,
+        ServerLeavingForZone,
     )
 )
+
+
+def member_key(member: Member) -> int:
+    """Return the key of an incarnation of an instance in ``MemberAges``."""
+    return zlib.crc32(f'{member.instance} {member.nonce}'.encode())
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Hashable
+from collections.abc import Iterable
 import logging
 import random
 from typing import NamedTuple
@@ -11,45 +12,35 @@
 from citronshelf_common import fleet
 from citronshelf_instance import configuration
 from citronshelf_instance import events
-from citronshelf_instance import evidence
+from citronshelf_instance import evidence_exchange
 from citronshelf_instance import membership
 from citronshelf_instance import peer_messages
 from citronshelf_instance import published
 from citronshelf_instance import reader_group
-from citronshelf_instance import registrations
+from citronshelf_instance import zone_relays
 
 LOG = logging.getLogger(__name__)
 
 MEMBERSHIP_INTERVAL_S = 0.5
 HEARTBEAT_INTERVAL_S = 2.0
-HEARTBEAT_PEERS = 2
+# Numbers of instances of its own zone and of the other zones of its region to
+# which an instance sends heartbeats. Each member of a region is then heard of
+# everywhere within half of the time after which it expires.
+ZONE_HEARTBEAT_PEERS = 3
+RELAY_HEARTBEAT_PEERS = 1
 HEARTBEAT_MEMBERS = 6
-# Instances that are asked for all the members they know, of those to which
-# this instance introduces itself in one round. A list has 25 KB in a fleet of
-# 300 instances.
+# Instances that are asked after the seeds, once, for all the members that they
+# know. A list has 25 KB in a fleet of 300 instances.
 LIST_PEERS = 2
 # Longer than within the region: traffic between regions is billed by volume.
 REMOTE_HEARTBEAT_INTERVAL_S = 8.0
-# Evidence is sent to at most this many instances, so that its cost per
-# instance does not grow with the fleet.
-MAX_EVIDENCE_PEERS = 64
-# Numbers of instances of its own and of other regions to which an instance
+# Numbers of neighbours and of instances of other regions to which an instance
 # announces a new publication.
 ANNOUNCEMENT_PEERS = 3
 REMOTE_ANNOUNCEMENT_PEERS = 1
-# Observations that change the estimates by at least this much, and those of
-# requests that a server refused, are sent almost at once, in one message with
-# those of the next URGENT_DELAY_S. Others wait for up to EVIDENCE_DELAY_S:
-# they only affect how much weight a later failure has.
-URGENT_FAILING_SHIFT = 0.1
-URGENT_SLOWNESS_SHIFT = 0.6
-URGENT_DELAY_S = 0.002
-EVIDENCE_DELAY_S = 1.0
-MAX_PENDING_OBSERVATIONS = 200
-# Instances of the region that are asked for a retry credit at once, and those
-# of other regions that are asked after them.
+# Neighbours that are asked for a retry credit at once. The contacts in other
+# regions are asked after them.
 CREDIT_PEERS = 16
-REMOTE_CREDIT_PEERS = 8
 FETCH_INTERVAL_S = 0.5
 # Interval between the first requests for the state after a start; it doubles
 # up to FETCH_INTERVAL_S with each request.
@@ -113,8 +104,15 @@
         self.readers = readers
         self.clock = clock
         self.rng = rng
-        self.pending: list[evidence.PendingObservation] = []
-        self.flush_timer: asyncio.TimerHandle | None = None
+        self.zones = zone_relays.ZoneRelays(members=members)
+        self.evidence = evidence_exchange.EvidenceExchange(
+            own=own,
+            state=state,
+            zones=self.zones,
+            send=self.send,
+            clock=clock,
+            rng=rng,
+        )
         self.next_heartbeat_s = 0.0
         self.next_remote_heartbeat_s = 0.0
         self.has_left = False
@@ -124,6 +122,7 @@
             maxlen=MAX_INFORMED_PEERS
         )
         self.next_copy_s = float('-inf')
+        self.lists_to_request = LIST_PEERS
         self.on_peer_revision = lambda revision: None
         self.is_store_current = lambda: False
         self.lend_credit = lambda service: None
@@ -152,48 +151,76 @@
     def send_joins(self) -> bool:
         """Introduce this instance to others that may not know it.
 
-        While no member is known, requests the members from the seeds. After
-        that, the members of the region from which no message was received
-        directly get a heartbeat, and ``LIST_PEERS`` of them a ``Join``: the
-        seeds may have known few members. Returns whether a message was queued.
+        While no neighbour is known, requests members from the seeds. After
+        that, the neighbours and readers from which no message was received
+        directly get a heartbeat. After the start, ``LIST_PEERS`` of them get a
+        ``Join`` instead: the seeds may have known few members. Returns whether
+        a message was queued.
         """
-        join = peer_messages.Join(self.own, self.state.change_revision)
-        if not self.members.known:
+        contacts = self.zones.neighbours() + self.readers.others()
+        if not contacts:
+            join = peer_messages.Join(self.own, self.state.change_revision)
             return any([self.send(seed, join) for seed in self.seeds])
+        for peer in contacts + self.zones.remote_contacts():
+            # Messages are dropped until a connection is established.
+            self.links.connect(peer.member.address)
         addresses = [
-            peer.member.address
-            for peer in self.members.in_region()
-            if not peer.direct
+            peer.member.address for peer in contacts if not peer.direct
         ]
-        asked = self.rng.sample(addresses, min(LIST_PEERS, len(addresses)))
-        greeting = self.make_heartbeat(0)
-        return any(
-            [
-                self.send(address, join if address in asked else greeting)
-                for address in addresses
-            ]
-        )
+        return any([self.send_greeting(address) for address in addresses])
+
+    def send_greeting(self, address: fleet.Address) -> bool:
+        """Introduce this instance; request the members if it needs them."""
+        if self.lists_to_request == 0:
+            return self.send(address, self.make_heartbeat(0))
+        join = peer_messages.Join(self.own, self.state.change_revision)
+        is_sent = self.send(address, join)
+        self.lists_to_request -= is_sent
+        return is_sent
 
     def send_heartbeats(self) -> None:
-        """Send heartbeats to a few random instances of the region.
+        """Send heartbeats to a few random neighbours.
 
         If instances of other regions are known, also sends a heartbeat to one
         of them every ``REMOTE_HEARTBEAT_INTERVAL_S``. A seed that is not a
         member gets a ``Join``.
         """
-        local_members = self.members.in_region()
-        chosen = self.rng.sample(
-            local_members, min(HEARTBEAT_PEERS, len(local_members))
-        )
+        own_zone = self.zones.own_zone()
+        relays = [
+            peer for zone in self.zones.other_zones().values() for peer in zone
+        ]
         now = self.clock()
-        remote_members = self.members.in_other_regions()
-        if remote_members and now >= self.next_remote_heartbeat_s:
-            self.next_remote_heartbeat_s = now + REMOTE_HEARTBEAT_INTERVAL_S
-            chosen.append(self.rng.choice(remote_members))
+        for peer in self.sample(own_zone, ZONE_HEARTBEAT_PEERS):
+            self.send_heartbeat(peer, self.members.known.values())
+        for peer in self.sample(relays, RELAY_HEARTBEAT_PEERS):
+            self.send_heartbeat(peer, own_zone)
+        remote = self.zones.remote_contacts()
+        if remote and now >= self.next_remote_heartbeat_s:
+            # Spread, so that one of a region is always about to be sent.
+            interval_s = REMOTE_HEARTBEAT_INTERVAL_S * self.rng.uniform(
+                0.5, 1.5
+            )
+            self.next_remote_heartbeat_s = now + interval_s
+            self.send_heartbeat(
+                self.rng.choice(remote), self.members.in_region()
+            )
         self.join_unknown_seed()
-        message = self.make_heartbeat(HEARTBEAT_MEMBERS)
-        for peer in chosen:
-            self.send(peer.member.address, message)
+
+    def send_heartbeat(
+        self,
+        peer: membership.KnownMember,
+        aged: Iterable[membership.KnownMember],
+    ) -> None:
+        """Send a heartbeat and the ages of some members.
+
+        Those are the members that the receiver hears least of from others.
+        """
+        address = peer.member.address
+        self.send(address, self.make_heartbeat(HEARTBEAT_MEMBERS))
+        ages = peer_messages.MemberAges(
+            self.own, self.members.ages(aged), self.members.departures()
+        )
+        self.send(address, ages)
 
     def join_unknown_seed(self) -> None:
         """Send ``Join`` to a seed that is not a member.
@@ -214,13 +241,9 @@
 
         This reaches instances whose watch of the store missed the change.
         """
-        local_members = self.members.in_region()
-        remote_members = self.members.in_other_regions()
-        chosen = self.rng.sample(
-            local_members, min(ANNOUNCEMENT_PEERS, len(local_members))
-        )
-        chosen += self.rng.sample(
-            remote_members, min(REMOTE_ANNOUNCEMENT_PEERS, len(remote_members))
+        chosen = self.sample(self.zones.neighbours(), ANNOUNCEMENT_PEERS)
+        chosen += self.sample(
+            self.zones.remote_contacts(), REMOTE_ANNOUNCEMENT_PEERS
         )
         message = self.make_heartbeat(0)
         for peer in chosen:
@@ -293,13 +316,15 @@
         if message.sender.instance == self.own.instance:
             return
         if isinstance(message, peer_messages.Leave):
-            self.members.remove(message.sender.instance)
+            key = peer_messages.member_key(message.sender)
+            self.members.record_departures({key: 0})
             self.links.disconnect(message.sender.address)
             return
-        is_introduced = self.members.is_direct(message.sender)
+        was_direct = self.members.is_direct(message.sender)
         self.record_member(message.sender, self.members.record_message, route)
         self.handle(message, route)
-        if not is_introduced and isinstance(message, peer_messages.Heartbeat):
+        is_new = not was_direct and self.members.is_direct(message.sender)
+        if is_new and isinstance(message, peer_messages.Heartbeat):
             self.answer_greeting(message.sender, route)
 
     def record_member(
@@ -329,33 +354,44 @@
 
         Until it receives a message directly, it introduces itself again.
         """
-        if sender.location.region == self.own.location.region:
-            self.links.connect(sender.address)
+        self.connect_to_zone(sender)
         self.reply(route, self.make_heartbeat(0))
 
+    def connect_to_zone(self, sender: peer_messages.Member) -> None:
+        """Connect to an instance of the own zone.
+
+        Messages are dropped until the connection is established.
+        """
+        if sender.location == self.own.location:
+            self.links.connect(sender.address)
+
     def handle(self, message, route) -> None:
         """Handle a message whose sender has been recorded as a member."""
         match message:
             case peer_messages.Join():
-                # Messages are dropped until a new connection is established.
-                self.links.connect(message.sender.address)
-                reply = self.make_heartbeat(peer_messages.MAX_MEMBERS)
-                self.reply(route, reply)
+                self.connect_to_zone(message.sender)
+                self.reply(route, self.make_list(message.sender))
                 self.record_revision(message, route)
             case peer_messages.Heartbeat():
                 for member in message.members:
                     self.record_member(member, self.members.record_member)
                 self.record_revision(message, route)
+            case peer_messages.MemberAges():
+                self.handle_ages(message, route)
+            case peer_messages.MembersRequest():
+                self.reply(route, self.describe_members(message))
             case peer_messages.Evidence():
-                for observation in message.observations:
-                    self.state.directory.record(
-                        observation, message.sender.instance
-                    )
+                self.evidence.receive(message)
+                self.record_revision(message, route)
+            case peer_messages.EvidenceForZone():
+                self.evidence.relay(message)
                 self.record_revision(message, route)
             case peer_messages.ReaderReport():
                 self.handle_report(message)
             case peer_messages.ServerLeaving():
-                self.handle_server_leaving(message)
+                self.evidence.receive_leaving(message)
+            case peer_messages.ServerLeavingForZone():
+                self.evidence.relay_leaving(message)
             case peer_messages.FetchState():
                 self.send_state(message, route)
             case peer_messages.StateCopy():
@@ -376,6 +412,47 @@
             self.informed.append(InformedPeer(message.revision, route))
         self.on_peer_revision(message.revision)
 
+    def make_list(
+        self, sender: peer_messages.Member
+    ) -> peer_messages.Heartbeat:
+        """Return the reply to ``Join``: the members of the sender's region.
+
+        It learns most members of other regions from its zone.
+        """
+        members, others = [], []
+        for peer in self.members.known.values():
+            is_near = peer.member.location.region == sender.location.region
+            (members if is_near else others).append(peer)
+        described = self.sample(
+            members, peer_messages.MAX_MEMBERS - zone_relays.REMOTE_CONTACTS
+        ) + self.sample(others, zone_relays.REMOTE_CONTACTS)
+        return peer_messages.Heartbeat(
+            self.own,
+            self.state.change_revision,
+            self.members.describe(described),
+        )
+
+    def handle_ages(self, message: peer_messages.MemberAges, route) -> None:
+        """Record ages and departures; request members that are not known."""
+        for member in self.members.record_departures(message.departed_tenths):
+            self.links.disconnect(member.address)
+        unknown = self.members.record_ages(message.tenths)
+        if unknown:
+            request = peer_messages.MembersRequest(
+                self.own, unknown[: peer_messages.MAX_MEMBERS]
+            )
+            self.reply(route, request)
+
+    def describe_members(
+        self, message: peer_messages.MembersRequest
+    ) -> peer_messages.Heartbeat:
+        """Return the reply to a request for members."""
+        return peer_messages.Heartbeat(
+            self.own,
+            self.state.change_revision,
+            self.members.find(message.keys),
+        )
+
     def handle_report(self, message: peer_messages.ReaderReport) -> None:
         """Apply the report of a reader of this region."""
         directory = self.state.directory
@@ -454,58 +531,16 @@
     def send_to_any(self, message) -> bool:
         """Send to one random instance, connecting to a few if needed.
 
-        Instances of the region are preferred; seeds are used while no member
-        is known. Returns False if no connection was established.
+        Neighbours are preferred; seeds are used while no member is known.
+        Returns False if no connection was established.
         """
-        known = self.members.in_region() or self.members.in_other_regions()
+        known = self.zones.neighbours() or self.zones.remote_contacts()
         addresses = [peer.member.address for peer in known] or self.seeds
         chosen = self.rng.sample(
             addresses, min(MAX_FETCH_ATTEMPTS, len(addresses))
         )
         return any(self.send(address, message) for address in chosen)
 
-    def record_observation(self, observation: evidence.Observation) -> None:
-        """Record an observation of this instance and queue it for peers.
-
-        Ignores observations of servers that are no longer registered.
-        """
-        shift = self.state.directory.record(observation, self.own.instance)
-        if shift is None:
-            return
-        self.pending.append(
-            evidence.PendingObservation(observation, self.clock())
-        )
-        if len(self.pending) >= MAX_PENDING_OBSERVATIONS:
-            self.schedule_flush(0.0)
-            return
-        urgent = is_urgent(observation, shift)
-        self.schedule_flush(URGENT_DELAY_S if urgent else EVIDENCE_DELAY_S)
-
-    def report_leaving(self, server: registrations.RegisteredServer) -> None:
-        """Tell instances of the region that a server announced its leaving.
-
-        At most ``MAX_EVIDENCE_PEERS`` random ones are told. The others learn
-        of it from a response of their own or from the store.
-        """
-        registration = server.registration
-        message = peer_messages.ServerLeaving(
-            self.own, registration.server_id, registration.started_ms
-        )
-        for peer in self.sample_region():
-            self.send(peer.member.address, message)
-
-    def handle_server_leaving(
-        self, message: peer_messages.ServerLeaving
-    ) -> None:
-        """Record a leaving server unless it has been started again."""
-        directory = self.state.directory
-        server = directory.servers.get(message.server_id)
-        if (
-            server is not None
-            and server.registration.started_ms == message.started_ms
-        ):
-            directory.record_leaving(server, '', message.sender.instance)
-
     def ask_for_credit(
         self, service: str, number: int, *, is_remote: bool
     ) -> int:
@@ -517,7 +552,7 @@
         number : int
             Identifies the request in the replies.
         is_remote : bool
-            Ask instances of other regions instead of those of the own one.
+            Ask the contacts in other regions instead of neighbours.
 
         Returns
         -------
@@ -526,10 +561,9 @@
         """
         message = peer_messages.RetryCreditRequest(self.own, service, number)
         if is_remote:
-            members = self.members.in_other_regions()
-            chosen = self.sample(members, REMOTE_CREDIT_PEERS)
+            chosen = self.zones.remote_contacts()
         else:
-            chosen = self.sample(self.members.in_region(), CREDIT_PEERS)
+            chosen = self.sample(self.zones.neighbours(), CREDIT_PEERS)
         return sum(self.send(peer.member.address, message) for peer in chosen)
 
     def make_credit_reply(
@@ -540,73 +574,25 @@
             self.own, message.number, self.lend_credit(message.service)
         )
 
-    def sample_region(self) -> list[membership.KnownMember]:
-        """Return at most ``MAX_EVIDENCE_PEERS`` instances of the region."""
-        return self.sample(self.members.in_region(), MAX_EVIDENCE_PEERS)
-
     def sample(
         self, members: list[membership.KnownMember], limit: int
     ) -> list[membership.KnownMember]:
         """Return at most ``limit`` of the members, chosen at random."""
         if len(members) > limit:
             return self.rng.sample(members, limit)
-        return members
-
-    def schedule_flush(self, delay_s: float) -> None:
-        """Schedule a flush after at most ``delay_s`` seconds."""
-        loop = asyncio.get_running_loop()
-        due_s = loop.time() + delay_s
-        if self.flush_timer is not None:
-            if self.flush_timer.when() <= due_s:
-                return
-            self.flush_timer.cancel()
-        self.flush_timer = loop.call_at(due_s, self.flush)
-
-    def flush(self) -> None:
-        """Send pending observations to the instances of the region.
-
-        At most ``MAX_EVIDENCE_PEERS`` random ones receive them. Observations
-        that do not fit into one message are sent in another flush.
-        """
-        self.flush_timer = None
-        now = self.clock()
-        batch = tuple(
-            pending.to_send(now)
-            for pending in self.pending[: peer_messages.MAX_OBSERVATIONS]
-        )
-        del self.pending[: len(batch)]
-        message = peer_messages.Evidence(
-            self.own, self.state.change_revision, batch
-        )
-        for peer in self.sample_region():
-            self.send(peer.member.address, message)
-        if self.pending:
-            self.schedule_flush(0.0)
+        return list(members)
 
     def close(self) -> None:
-        """Cancel a scheduled flush, so that nothing more is sent."""
-        if self.flush_timer is not None:
-            self.flush_timer.cancel()
-            self.flush_timer = None
+        """Cancel scheduled messages, so that nothing more is sent."""
+        self.evidence.close()
 
     def leave(self) -> None:
         """Announce to all instances that this one stops.
 
-        Nothing is sent after that: a later message would make this instance
-        a member again.
+        Those without a connection learn it from others, or when this instance
+        expires. Nothing is sent after that.
         """
-        message = peer_messages.Leave(self.own)
+        message = peer_messages.CODEC.encode(peer_messages.Leave(self.own))
         for peer in list(self.members.known.values()):
-            self.send(peer.member.address, message)
+            self.links.send(peer.member.address, message)
         self.has_left = True
-
-
-def is_urgent(
-    observation: evidence.Observation, shift: evidence.Shift
-) -> bool:
-    """Return whether peers get an observation after ``URGENT_DELAY_S``."""
-    return (
-        observation.signal is evidence.HealthSignal.SHED
-        or shift.failure_probability >= URGENT_FAILING_SHIFT
-        or shift.slowness >= URGENT_SLOWNESS_SHIFT
-    )
--- a/libs/citronshelf_instance/citronshelf_instance/reader_group.py
+++ b/libs/citronshelf_instance/citronshelf_instance/reader_group.py
@@ -15,6 +15,8 @@
 FOLLOWER_AGE_LIMIT_S = 1.6
 READER_AGE_LIMIT_S = 1.0
 READER_AGE_STEP_S = 0.08
+# A shorter time than this counts as none: no timer could wait for it.
+MIN_REMAINING_S = 0.001
 
 
 class ReaderGroup:
@@ -61,6 +63,16 @@
             for peer in self.members.in_region()
         )
 
+    def others(self) -> list[membership.KnownMember]:
+        """Return the other readers of a region that shares readers."""
+        if not self.is_sharing():
+            return []
+        ranked = sorted(
+            self.members.in_region(),
+            key=lambda peer: rank_key(peer.member.instance),
+        )
+        return ranked[:READERS]
+
     def age_limit_s(self) -> float:
         """Return the age of the list from which this instance asks the store.
 
@@ -79,7 +91,8 @@
         age_s = self.list_age_s()
         if age_s is None:
             return 0.0
-        return max(0.0, self.age_limit_s() - age_s)
+        remaining_s = self.age_limit_s() - age_s
+        return remaining_s if remaining_s >= MIN_REMAINING_S else 0.0
 
     def is_covered(self) -> bool:
         """Return whether readers confirm the list for this instance."""
--- a/libs/citronshelf_instance/tests/test_credit_messages.py
+++ b/libs/citronshelf_instance/tests/test_credit_messages.py
@@ -4,6 +4,7 @@
 
 from citronshelf_instance import peer_messages
 from citronshelf_instance import peers
+from citronshelf_instance import zone_relays
 import peer_fleet
 
 
@@ -37,7 +38,7 @@
 
     def test_instances_of_other_regions_reply(self, clock):
         asked, lenders, _ = asyncio.run(self.ask(clock, 1.5, is_remote=True))
-        assert asked == len(lenders) == peers.REMOTE_CREDIT_PEERS
+        assert asked == len(lenders) == zone_relays.REMOTE_CONTACTS
         assert all(number % 3 == 0 for number, _ in lenders)
 
     def test_reply_without_credit(self, clock):
--- a/libs/citronshelf_instance/tests/test_join_traffic.py
+++ b/libs/citronshelf_instance/tests/test_join_traffic.py
@@ -6,44 +6,25 @@
 
 from citronshelf_instance import peer_messages
 from citronshelf_instance import peers
-from citronshelf_traffic import virtual_loop
 import virtual_fleet
+from virtual_fleet import run_virtual
 from virtual_fleet import SEEDS
 
 # Time in which all instances of a region find each other.
 START_S = 4.0
-# Heartbeats with more members than the periodic ones are replies to `Join`.
-LIST_LENGTH = peers.HEARTBEAT_MEMBERS + 1
-
-
-def run_virtual(scenario):
-    with asyncio.Runner(loop_factory=virtual_loop.VirtualLoop) as runner:
-        return runner.run(scenario)
 
 
 async def start_region(network, count):
     """Start instances at the same moment; return them after START_S."""
-    store = virtual_fleet.SilentStore()
-    processes = [
-        virtual_fleet.Process(network, number, 'n1', store)
-        for number in range(count)
-    ]
-    for process in processes:
-        process.tasks = [asyncio.create_task(process.peers.run())]
-    await asyncio.sleep(START_S)
-    return processes
-
-
-async def stop(processes):
-    for process in processes:
-        await process.stop()
+    places = [('r', 'z')] * count
+    return await virtual_fleet.start_peers(network, places, settle_s=START_S)
 
 
-def count_lists(messages):
-    """Return how many messages have a list of members."""
+def count_lists(messages, members):
+    """Return how many messages list half of the members or more."""
     return sum(
         isinstance(message, peer_messages.Heartbeat)
-        and len(message.members) >= LIST_LENGTH
+        and len(message.members) >= members / 2
         for message in messages
     )
 
@@ -59,7 +40,7 @@
         network = virtual_fleet.SlowNetwork()
         processes = await start_region(network, count)
         members = [process.peers.members.count() for process in processes]
-        await stop(processes)
+        await virtual_fleet.stop_all(processes)
         sent_bytes = sum(
             len(peer_messages.CODEC.encode(message))
             for message in network.sent
@@ -78,7 +59,7 @@
 
     def test_each_instance_gets_a_few_lists(self):
         _, _, sent = run_virtual(self.measure(96))
-        assert count_lists(sent) <= 96 * (SEEDS + peers.LIST_PEERS)
+        assert count_lists(sent, 96) <= 96 * (SEEDS + peers.LIST_PEERS)
 
 
 class TestRestart:
@@ -96,8 +77,8 @@
             again.tasks = [asyncio.create_task(again.peers.run())]
             await asyncio.sleep(START_S)
             count = again.peers.members.count()
-            await stop([*processes, again])
-            return count, count_lists(network.sent)
+            await virtual_fleet.stop_all([*processes, again])
+            return count, count_lists(network.sent, 48)
 
         count, lists = run_virtual(restart())
         assert count == 48
--- a/libs/citronshelf_instance/tests/test_peers.py
+++ b/libs/citronshelf_instance/tests/test_peers.py
@@ -8,6 +8,7 @@
 from citronshelf_common import fleet
 from citronshelf_instance import configuration
 from citronshelf_instance import evidence
+from citronshelf_instance import evidence_exchange
 from citronshelf_instance import peer_messages
 from citronshelf_instance import peers
 from citronshelf_instance import published
@@ -90,10 +91,10 @@
     """Return a fleet just after one instance made an observation."""
     group = peer_fleet.Fleet(clock)
     await group.step(rounds=3)
-    group.instances[1].record_observation(
+    group.instances[1].evidence.record(
         evidence.Observation('s1', signal, slowness)
     )
-    await asyncio.sleep(2 * peers.URGENT_DELAY_S)
+    await asyncio.sleep(2 * evidence_exchange.URGENT_DELAY_S)
     return group
 
 
@@ -117,7 +118,7 @@
 
     def test_repeated_failures_are_batched(self, clock, monkeypatch):
         """Failures that hardly change the probability are sent later."""
-        monkeypatch.setattr(peers, 'EVIDENCE_DELAY_S', 60.0)
+        monkeypatch.setattr(evidence_exchange, 'EVIDENCE_DELAY_S', 60.0)
 
         async def run():
             group = peer_fleet.Fleet(clock)
@@ -125,12 +126,12 @@
             sent_after_observation = []
             for _ in range(6):
                 before = group.network.sent
-                group.instances[1].record_observation(
+                group.instances[1].evidence.record(
                     evidence.Observation(
                         's1', evidence.HealthSignal.FAILED, 0.0
                     )
                 )
-                await asyncio.sleep(2 * peers.URGENT_DELAY_S)
+                await asyncio.sleep(2 * evidence_exchange.URGENT_DELAY_S)
                 sent_after_observation.append(group.network.sent > before)
             return sent_after_observation
 
@@ -149,14 +150,14 @@
         assert asyncio.run(run()) > 2.0
 
     def test_usual_responses_are_batched(self, clock, monkeypatch):
-        monkeypatch.setattr(peers, 'EVIDENCE_DELAY_S', 0.1)
+        monkeypatch.setattr(evidence_exchange, 'EVIDENCE_DELAY_S', 0.1)
 
         async def run():
             group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             before = group.network.sent
             for _ in range(20):
-                group.instances[1].record_observation(
+                group.instances[1].evidence.record(
                     evidence.Observation('s1', evidence.HealthSignal.GOOD, 1.0)
                 )
             await asyncio.sleep(0.2)
@@ -172,14 +173,14 @@
 
         Guards against tests of silent servers that came up to a second late.
         """
-        monkeypatch.setattr(peers, 'EVIDENCE_DELAY_S', 0.02)
+        monkeypatch.setattr(evidence_exchange, 'EVIDENCE_DELAY_S', 0.02)
 
         async def run():
             group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
             sent_s = clock()
             clock.advance(0.2)
-            group.instances[1].record_observation(
+            group.instances[1].evidence.record(
                 evidence.Observation(
                     's1', evidence.HealthSignal.GOOD, 1.0, elapsed_s=0.2
                 )
@@ -205,7 +206,7 @@
             )
             for number in range(1000):
                 signal = evidence.HealthSignal.GOOD
-                group.instances[1].record_observation(
+                group.instances[1].evidence.record(
                     evidence.Observation('s1', signal, 1.0 + number)
                 )
             await asyncio.sleep(0.1)
@@ -231,12 +232,12 @@
         async def run():
             group = peer_fleet.Fleet(clock)
             await group.step(rounds=3)
-            group.instances[1].record_observation(
+            group.instances[1].evidence.record(
                 evidence.Observation('s1', evidence.HealthSignal.FAILED, 0.0)
             )
             before = group.network.sent
             group.instances[1].close()
-            await asyncio.sleep(2 * peers.URGENT_DELAY_S)
+            await asyncio.sleep(2 * evidence_exchange.URGENT_DELAY_S)
             return group.network.sent - before
 
         assert asyncio.run(run()) == 0
--- a/libs/citronshelf_instance/tests/test_reader_group.py
+++ b/libs/citronshelf_instance/tests/test_reader_group.py
@@ -114,3 +114,17 @@
             group.list_age_s = lambda: 100.0
             assert group.remaining_s() == float('inf')
             assert not group.is_confirming()
+
+
+class TestRemainingTime:
+    """Guards against an instance that waits in a loop for no time at all."""
+
+    @pytest.mark.parametrize('left_s', [1e-17, 1e-6])
+    def test_time_below_a_timer_tick_counts_as_none(self, clock, left_s):
+        members = [make_member(n) for n in range(30)]
+        group = make_group(clock, 0, members)
+        limit_s = group.age_limit_s()
+        group.list_age_s = lambda: limit_s - left_s
+        assert group.remaining_s() == 0.0
+        group.list_age_s = lambda: limit_s - 0.5
+        assert group.remaining_s() == pytest.approx(0.5)
--- a/libs/citronshelf_instance/tests/virtual_fleet.py
+++ b/libs/citronshelf_instance/tests/virtual_fleet.py
@@ -15,6 +15,7 @@
 from citronshelf_instance import reader_group
 from citronshelf_instance import registrations
 from citronshelf_instance import store_reader
+from citronshelf_traffic import virtual_loop
 
 SEEDS = 3
 CONNECT_S = 0.06
@@ -86,7 +87,7 @@
 class Process:
     """One instance with its peers and its reader of the store."""
 
-    def __init__(self, network, number, nonce, store, region='r'):
+    def __init__(self, network, number, nonce, store, region='r', zone='z'):
         self.loop = asyncio.get_running_loop()
         clock = self.loop.time
         rng = random.Random(number)
@@ -94,7 +95,7 @@
             f'i{number}',
             nonce,
             address(number),
-            fleet.Location(region, 'z'),
+            fleet.Location(region, zone),
             0.0,
         )
         self.state = published.PublishedState(
@@ -148,6 +149,38 @@
         return self.loop.time() - began_s
 
 
+def run_virtual(scenario):
+    """Run a scenario in virtual time and return its result."""
+    with asyncio.Runner(loop_factory=virtual_loop.VirtualLoop) as runner:
+        return runner.run(scenario)
+
+
+async def start_peers(network, places, *, settle_s):
+    """Start instances that do not read the store.
+
+    Parameters
+    ----------
+    network : SlowNetwork
+    places : list of tuple of str
+        Region and zone of each instance.
+    settle_s : float
+        Time after which their processes are returned.
+    """
+    processes = [
+        Process(network, number, 'n1', SilentStore(), region, zone)
+        for number, (region, zone) in enumerate(places)
+    ]
+    for process in processes:
+        process.tasks = [asyncio.create_task(process.peers.run())]
+    await asyncio.sleep(settle_s)
+    return processes
+
+
+async def stop_all(processes):
+    for process in processes:
+        await process.stop()
+
+
 def address(number):
     return fleet.Address('127.0.0.1', 7000 + number)
 
--- a/measures/gray_placement.py
+++ b/measures/gray_placement.py
@@ -18,7 +18,7 @@
 from citronshelf_common import fleet
 from citronshelf_instance import configuration
 from citronshelf_instance import evidence
-from citronshelf_instance import peers
+from citronshelf_instance import evidence_exchange
 from citronshelf_instance import placement
 from citronshelf_instance import registrations
 
@@ -260,11 +260,15 @@
         self.observations.append(
             evidence.PendingObservation(observation, self.simulation.now)
         )
-        if peers.is_urgent(observation, shift):
-            self.simulation.schedule(peers.URGENT_DELAY_S, self.flush)
+        if evidence_exchange.is_urgent(observation, shift):
+            self.simulation.schedule(
+                evidence_exchange.URGENT_DELAY_S, self.flush
+            )
         elif not self.is_flush_scheduled:
             self.is_flush_scheduled = True
-            self.simulation.schedule(peers.EVIDENCE_DELAY_S, self.flush)
+            self.simulation.schedule(
+                evidence_exchange.EVIDENCE_DELAY_S, self.flush
+            )
 
     def flush(self) -> None:
         """Send the collected observations to the other instances."""
