instance: poll the store at one rate for a region of any size

Cause: each follower read the store every 15 to 45 s in case that readers missed a change without noticing: 4.7 calls/s in a region of 146, though one call that finds the change brings it to all. Ruled out: no polls at all; nothing else finds a change that all readers miss. Change: the interval grows with the region, 1.25 s for each instance; a region makes 0.8 calls/s, as the smallest with readers (24) did before. Conclusion: these calls no longer grow with the fleet.

--- a/libs/citronshelf_instance/citronshelf_instance/reader_group.py
+++ b/libs/citronshelf_instance/citronshelf_instance/reader_group.py
@@ -15,6 +15,10 @@
 FOLLOWER_AGE_LIMIT_S = 1.6
 READER_AGE_LIMIT_S = 1.0
 READER_AGE_STEP_S = 0.08
+# Interval at which one instance of a region that follows its readers reads the
+# store itself, so that readers that miss a change without noticing are found
+# soon. A region of any size makes as many of these calls.
+REGION_POLL_INTERVAL_S = 1.25
 # A shorter time than this counts as none: no timer could wait for it.
 MIN_REMAINING_S = 0.001
 
@@ -94,6 +98,10 @@
         remaining_s = self.age_limit_s() - age_s
         return remaining_s if remaining_s >= MIN_REMAINING_S else 0.0
 
+    def poll_interval_s(self) -> float:
+        """Return how often this instance reads the store as a follower."""
+        return REGION_POLL_INTERVAL_S * (len(self.members.in_region()) + 1)
+
     def is_covered(self) -> bool:
         """Return whether readers confirm the list for this instance."""
         return not self.is_reader() and self.remaining_s() > 0
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -35,9 +35,6 @@
 # A watch is restarted if it has not returned a revision that another instance
 # knows within one to two times this delay.
 OUTDATED_DELAY_S = 0.2
-# An instance that follows readers reads the store itself about this often, so
-# that readers that miss a change without noticing are found soon in any fleet.
-POLL_INTERVAL_S = 30.0
 # A full read usually takes a tenth of this. If one takes longer, the state is
 # requested from a peer meanwhile.
 SLOW_READ_S = 0.3
@@ -199,7 +196,10 @@
         Returns when the next call to the store is due: at once if no reader
         confirms the list, when a change was not reported in time, or to poll.
         """
-        poll_at_s = self.clock() + POLL_INTERVAL_S * self.rng.uniform(0.5, 1.5)
+        poll_at_s = (
+            self.clock()
+            + self.group.poll_interval_s() * self.rng.uniform(0.5, 1.5)
+        )
         while self.group.is_covered() and self.clock() < poll_at_s:
             if self.is_behind():
                 await asyncio.sleep(OUTDATED_DELAY_S * self.rng.uniform(1, 2))
--- a/libs/citronshelf_instance/tests/test_reader_group.py
+++ b/libs/citronshelf_instance/tests/test_reader_group.py
@@ -128,3 +128,14 @@
         assert group.remaining_s() == 0.0
         group.list_age_s = lambda: limit_s - 0.5
         assert group.remaining_s() == pytest.approx(0.5)
+
+
+class TestPolls:
+    """Followers read the store, in case that readers missed a change."""
+
+    @pytest.mark.parametrize('count', [24, 51, 400])
+    def test_calls_of_a_region_do_not_grow_with_it(self, clock, count):
+        members = [make_member(n) for n in range(count)]
+        group = make_group(clock, 0, members)
+        calls_per_s = count / group.poll_interval_s()
+        assert calls_per_s == pytest.approx(0.8)
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -20,6 +20,7 @@
 HISTORY_LOST_FAULT = store_reader.StoreFault(
     store_reader.ReadFault.HISTORY_LOST, ''
 )
+POLL_INTERVAL_S = 30.0
 
 
 def snapshot(revision, *entries):
@@ -68,6 +69,9 @@
         self.covered = covered
         self.watching = 3
 
+    def poll_interval_s(self):
+        return POLL_INTERVAL_S
+
     def is_covered(self):
         return self.covered
 
@@ -325,7 +329,7 @@
         read_with(
             store,
             clock,
-            lambda r: clock.advance(1.5 * store_reader.POLL_INTERVAL_S),
+            lambda r: clock.advance(1.5 * POLL_INTERVAL_S),
             covered=True,
         )
         assert store.waits == [0.0]
