--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -422,7 +422,8 @@
         ----------
         observation : Observation
         source : str
-            Name of the instance that made the observation.
+            Name of the instance that made the observation, or of the relay
+            that passed it on.
         """
         state = self.servers.get(observation.server_id)
         if state is None:
