instance: keep connections to three instances of other regions

Messages to other regions arrive now, over connections to eight instances there, with six members each. Ruled out: ages of members, 140 bytes a heartbeat there. Change: three such connections; heartbeats between regions describe nobody, since unknown members are requested by key.

--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -191,9 +191,11 @@
         ]
         now = self.clock()
         for peer in self.sample(own_zone, ZONE_HEARTBEAT_PEERS):
-            self.send_heartbeat(peer, self.members.known.values())
+            self.send_heartbeat(
+                peer, HEARTBEAT_MEMBERS, self.members.known.values()
+            )
         for peer in self.sample(relays, RELAY_HEARTBEAT_PEERS):
-            self.send_heartbeat(peer, own_zone)
+            self.send_heartbeat(peer, HEARTBEAT_MEMBERS, own_zone)
         remote = self.zones.remote_contacts()
         if remote and now >= self.next_remote_heartbeat_s:
             # Spread, so that one of a region is always about to be sent.
@@ -202,21 +204,28 @@
             )
             self.next_remote_heartbeat_s = now + interval_s
             self.send_heartbeat(
-                self.rng.choice(remote), self.members.in_region()
+                self.rng.choice(remote), 0, self.members.in_region()
             )
         self.join_unknown_seed()
 
     def send_heartbeat(
         self,
         peer: membership.KnownMember,
+        described: int,
         aged: Iterable[membership.KnownMember],
     ) -> None:
         """Send a heartbeat and the ages of some members.
 
-        Those are the members that the receiver hears least of from others.
+        Parameters
+        ----------
+        peer : KnownMember
+        described : int
+            Number of random members in the heartbeat.
+        aged : iterable of KnownMember
+            Those that the receiver hears least of from others.
         """
         address = peer.member.address
-        self.send(address, self.make_heartbeat(HEARTBEAT_MEMBERS))
+        self.send(address, self.make_heartbeat(described))
         ages = peer_messages.MemberAges(
             self.own, self.members.ages(aged), self.members.departures()
         )
--- a/libs/citronshelf_instance/citronshelf_instance/zone_relays.py
+++ b/libs/citronshelf_instance/citronshelf_instance/zone_relays.py
@@ -13,8 +13,9 @@
 # Relays of a zone. One that ends or is cut off delays nothing once its
 # connection is closed; until then it loses a part of the messages.
 RELAYS = 3
-# Instances of other regions to which an instance keeps connections.
-REMOTE_CONTACTS = 8
+# Instances of other regions to which an instance keeps connections. Traffic
+# between regions is billed by volume, connections included.
+REMOTE_CONTACTS = 3
 
 
 class ZoneRelays:
