peering: ignore addresses of peers that no socket can connect to

Cause: a message that described an instance at an invalid address ended the process: the socket raises an error on connect, and the address is passed on to others with heartbeats. Shown before the change: ZMQError for 'x y', a line break and port -1 (ZmqLinks.connect); host names were looked up. Ruled out: checks in the type of addresses; the platform's list has servers with port 0, and one bad member would refuse a whole list. Change: ZmqLinks logs such an address once (event 1414) and never connects; this serves citronshelf-instance and citronshelf-control.

--- a/libs/citronshelf_instance/citronshelf_instance/evidence.py
+++ b/libs/citronshelf_instance/citronshelf_instance/evidence.py
@@ -2,8 +2,11 @@
 
 import enum
 import math
+from typing import Annotated
 from typing import NamedTuple
 
+import msgspec
+
 # Transition rates of a two-state Markov model of a server: how often a healthy
 # server starts to fail and how often a failing one recovers. On the users'
 # sites, failures last 10 s on average, with 22 s between them.
@@ -61,7 +64,7 @@
     server_id: str
     signal: HealthSignal
     slowness: float
-    elapsed_s: float = 0.0
+    elapsed_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class PendingObservation(NamedTuple):
--- a/libs/citronshelf_instance/tests/peer_fleet.py
+++ b/libs/citronshelf_instance/tests/peer_fleet.py
@@ -70,24 +70,33 @@
         return end is not None
 
 
+def make_members(count):
+    """Return the members of a fleet of ``count`` instances."""
+    return [
+        peer_messages.Member(
+            f'i{number}',
+            'n',
+            fleet.Address('127.0.0.1', 7000 + number),
+            fleet.Location('kolkata' if number % 3 else 'siliguri', 'z'),
+            0.0,
+        )
+        for number in range(count)
+    ]
+
+
 class Fleet:
     """Instances on one network; the first ``seeds`` of them are seeds."""
 
     def __init__(self, clock, count=6, seeds=2):
         self.clock = clock
         self.network = FakeNetwork()
-        addresses = [
-            fleet.Address('127.0.0.1', 7000 + n) for n in range(count)
-        ]
+        addresses = [member.address for member in make_members(count)]
         self.instances = [
             self.make(n, addresses[:seeds], addresses[n]) for n in range(count)
         ]
 
     def make(self, number, seeds, address):
-        region = 'kolkata' if number % 3 else 'siliguri'
-        own = peer_messages.Member(
-            f'i{number}', 'n', address, fleet.Location(region, 'z'), 0.0
-        )
+        own = make_members(number + 1)[number]
         rng = random.Random(number)
         directory = registrations.Directory(clock=self.clock)
         state = published.PublishedState(
--- a/libs/citronshelf_peering/citronshelf_peering/events.py
+++ b/libs/citronshelf_peering/citronshelf_peering/events.py
@@ -58,3 +58,9 @@
 PEER_REFUSED = Event(
     1413, 'peer-refused', logging.WARNING, 'connection with an unknown key'
 )
+PEER_ADDRESS_INVALID = Event(
+    1414,
+    'peer-address-invalid',
+    logging.WARNING,
+    'no connection to a peer whose address is invalid',
+)
--- a/libs/citronshelf_peering/citronshelf_peering/links.py
+++ b/libs/citronshelf_peering/citronshelf_peering/links.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Hashable
+import ipaddress
 import logging
 from typing import NamedTuple
 
@@ -31,6 +32,9 @@
 # The authenticator selects the keys by the ZAP domain of the socket; '*'
 # applies only to sockets without a domain.
 ZAP_DOMAIN = 'citronshelf-peer'
+# Invalid addresses that are remembered so that each is logged once.
+MAX_INVALID_ADDRESSES = 64
+MAX_PORT = 65535
 # Yields to other tasks after this number of messages from one socket.
 BATCH_MESSAGES = 32
 
@@ -131,6 +135,18 @@
     return dealer
 
 
+def is_valid(address: fleet.Address) -> bool:
+    """Return whether an address has an IP address and a TCP port.
+
+    A socket would raise an error for others, or look up a host name.
+    """
+    try:
+        ipaddress.ip_address(address.ip)
+    except ValueError:
+        return False
+    return 0 < address.port <= MAX_PORT
+
+
 def try_send(socket: zmq.asyncio.Socket, frames: list[bytes]) -> bool:
     """Send without waiting; return whether the message was queued.
 
@@ -168,6 +184,7 @@
             self.authenticator = start_authenticator(self.context, keys)
         self.dealers: dict[fleet.Address, zmq.asyncio.Socket] = {}
         self.tasks: dict[fleet.Address, asyncio.Task] = {}
+        self.invalid: set[fleet.Address] = set()
         self.on_message: OnMessage = lambda route, data: None
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -207,8 +224,15 @@
         self.on_message(route, data)
 
     def connect(self, address: fleet.Address) -> None:
-        """Connect to a peer's ROUTER unless already connected."""
-        if address in self.dealers:
+        """Connect to a peer's ROUTER unless already connected.
+
+        Addresses come from messages of peers: invalid ones are logged and
+        ignored.
+        """
+        if address in self.dealers or address in self.invalid:
+            return
+        if not is_valid(address):
+            self.record_invalid(address)
             return
         dealer = make_dealer(self.context, address, self.keys)
         self.dealers[address] = dealer
@@ -216,6 +240,17 @@
             self.run_dealer(address, dealer)
         )
 
+    def record_invalid(self, address: fleet.Address) -> None:
+        """Log an invalid address and remember it."""
+        if len(self.invalid) >= MAX_INVALID_ADDRESSES:
+            self.invalid.clear()
+        self.invalid.add(address)
+        common_events.log_event(
+            LOG,
+            events.PEER_ADDRESS_INVALID,
+            address=address.authority()[:100],
+        )
+
     def disconnect(self, address: fleet.Address) -> None:
         """Close the connection to a peer's ROUTER, if there is one."""
         dealer = self.dealers.pop(address, None)
--- a/libs/citronshelf_peering/tests/test_links.py
+++ b/libs/citronshelf_peering/tests/test_links.py
@@ -6,6 +6,7 @@
 import os
 import socket
 
+import pytest
 import zmq
 
 from citronshelf_common import fleet
@@ -306,3 +307,50 @@
 
         timeouts_ms = asyncio.run(run())
         assert timeouts_ms == [links.ACKNOWLEDGE_TIMEOUT_MS] * 2
+
+
+class TestInvalidAddresses:
+    """Addresses of peers come from messages.
+
+    Guards against a process that one message with an invalid address ended,
+    and with it each process that the address was passed on to.
+    """
+
+    @pytest.mark.parametrize(
+        'address',
+        [
+            fleet.Address('', 7000),
+            fleet.Address('x y', 7000),
+            fleet.Address('host.invalid', 7000),
+            fleet.Address('127.0.0.1\n', 7000),
+            fleet.Address('127.0.0.1', 0),
+            fleet.Address('127.0.0.1', -1),
+            fleet.Address('127.0.0.1', 2**62),
+        ],
+        ids=str,
+    )
+    def test_address_is_ignored_and_logged_once(self, address, caplog):
+        async def run():
+            own = links.ZmqLinks(address=free_address(), keys=None)
+            try:
+                own.connect(address)
+                own.connect(address)
+                return own.send(address, b'x'), dict(own.dealers)
+            finally:
+                own.close()
+
+        assert asyncio.run(run()) == (False, {})
+        names = [record.event_name for record in caplog.records]
+        assert names == ['peer-address-invalid']
+
+    def test_remembered_addresses_are_bounded(self):
+        async def run():
+            own = links.ZmqLinks(address=free_address(), keys=None)
+            try:
+                for port in range(-200, 0):
+                    own.connect(fleet.Address('127.0.0.1', port))
+                return len(own.invalid)
+            finally:
+                own.close()
+
+        assert asyncio.run(run()) <= links.MAX_INVALID_ADDRESSES
