--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -1,4 +1,4 @@
-"""Exchange of evidence, members and published state with peers."""
+"""Exchange of members, published state and retry credits with peers."""
 
 import asyncio
 import collections
