peering: an error in the handling of a message does not end the process

Cause: an exception of a handler ended the task that receives messages, and with it the process and the requests that it served. Ruled out: catching errors of periodic tasks too; such a fault would repeat in each round, and a restart is the better answer. Change: ZmqLinks logs the error with its place (event 1415) and receives on. Conclusion: one message cannot end a process any more; periodic tasks can.

--- a/libs/citronshelf_peering/citronshelf_peering/events.py
+++ b/libs/citronshelf_peering/citronshelf_peering/events.py
@@ -64,3 +64,9 @@
     logging.WARNING,
     'no connection to a peer whose address is invalid',
 )
+PEER_MESSAGE_FAILED = Event(
+    1415,
+    'peer-message-failed',
+    logging.ERROR,
+    'unexpected error while handling a message; the message is dropped',
+)
--- a/libs/citronshelf_peering/citronshelf_peering/links.py
+++ b/libs/citronshelf_peering/citronshelf_peering/links.py
@@ -5,6 +5,8 @@
 from collections.abc import Hashable
 import ipaddress
 import logging
+import os
+import traceback
 from typing import NamedTuple
 
 import zmq
@@ -219,9 +221,22 @@
                 await asyncio.sleep(0)
 
     def deliver(self, route: Hashable, data: bytes) -> None:
-        """Count a received message and pass it to ``on_message``."""
+        """Count a received message and pass it to ``on_message``.
+
+        An unexpected error is logged: the message of one peer must not end
+        this process and the requests that it serves.
+        """
         self.bytes_received += len(data)
-        self.on_message(route, data)
+        try:
+            self.on_message(route, data)
+        except Exception as error:
+            last = traceback.extract_tb(error.__traceback__)[-1]
+            common_events.log_event(
+                LOG,
+                events.PEER_MESSAGE_FAILED,
+                error=repr(error)[:200],
+                where=f'{os.path.basename(last.filename)}:{last.lineno}',
+            )
 
     def connect(self, address: fleet.Address) -> None:
         """Connect to a peer's ROUTER unless already connected.
--- a/libs/citronshelf_peering/tests/test_links.py
+++ b/libs/citronshelf_peering/tests/test_links.py
@@ -354,3 +354,39 @@
                 own.close()
 
         assert asyncio.run(run()) <= links.MAX_INVALID_ADDRESSES
+
+
+class TestUnexpectedError:
+    """Guards against a process that ends with the handling of one message."""
+
+    def test_later_messages_are_handled(self, caplog):
+        async def run():
+            address = free_address()
+            received = []
+
+            def handle(route, data):
+                if data == b'bad':
+                    raise KeyError('no such peer')
+                received.append(data)
+
+            own = links.ZmqLinks(address=address, keys=None)
+            own.on_message = handle
+            task = asyncio.create_task(own.run())
+            dealer = plain_dealer(own.context, address)
+            try:
+                for data in (b'bad', b'good'):
+                    await dealer.send(data)
+                async with asyncio.timeout(5.0):
+                    while not received:
+                        await asyncio.sleep(0.01)
+                return received, task.done()
+            finally:
+                task.cancel()
+                dealer.close(0)
+                own.close()
+
+        assert asyncio.run(run()) == ([b'good'], False)
+        failed = [r for r in caplog.records if r.event_name.endswith('failed')]
+        assert len(failed) == 1
+        assert 'no such peer' in failed[0].error
+        assert failed[0].where.startswith('test_links.py')
