--- a/review/2/case.py
+++ b/review/2/case.py
@@ -97,7 +97,7 @@
             instance.write_settings(
                 seeds=seeds,
                 store=f'127.0.0.1:{store_relay.port}',
-                metrics_ip=f'127.0.3.{n + 1}',
+                metrics_ip=f'127.0.32.{n + 1}',
             )
             await instance.start()
         for instance in self.instances:
