--- a/libs/citronshelf_entry/citronshelf_entry/request_head.py
+++ b/libs/citronshelf_entry/citronshelf_entry/request_head.py
@@ -38,11 +38,14 @@
     reason : str
     allow : str
         Value of the ``Allow`` header of a 405.
+    retry_after_s : float or None
+        Seconds after which the request may succeed; None if unknown.
     """
 
     status: int
     reason: str
     allow: str = ''
+    retry_after_s: float | None = None
 
 
 class RequestHead(NamedTuple):
--- a/libs/citronshelf_instance/citronshelf_instance/caller_response.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_response.py
@@ -18,6 +18,7 @@
 # second.
 RETRY_AFTER_S = 0.15
 RETURN_SPREAD = 0.2
+RETRY_AFTER_STATUSES = frozenset({429, 503})
 REPLACED_HEADERS = frozenset({'content-length'})
 TIMEOUT_REASON = 'timeout'
 # A body up to this size is copied behind the head, so that one packet can hold
@@ -72,7 +73,9 @@
     refusal: request_head.RequestRefusal, *, closes_connection: bool
 ) -> CallerResponse:
     """Return the response to a request that is refused before routing."""
-    response = error_response(refusal.status, 'not-run', refusal.reason)
+    response = error_response(
+        refusal.status, 'not-run', refusal.reason, refusal.retry_after_s
+    )
     return response._replace(closes_connection=closes_connection)
 
 
@@ -84,13 +87,13 @@
 ) -> CallerResponse:
     """Return a response of this instance with a JSON body.
 
-    A response with status 503 has a ``Retry-After`` header: at least
+    A response with status 429 or 503 has a ``Retry-After`` header: at least
     ``RETRY_AFTER_S``, and a random time more than ``retry_after_s``, so that
     callers do not all return at once.
     """
     body = json.dumps({'outcome': outcome, 'reason': reason}).encode() + b'\n'
     pairs = (('Content-Type', 'application/json'),)
-    if status == 503:
+    if status in RETRY_AFTER_STATUSES:
         wait_s = RETRY_AFTER_S
         if retry_after_s is not None:
             spread_s = random.uniform(0, RETURN_SPREAD * retry_after_s)
--- a/libs/citronshelf_instance/citronshelf_instance/configuration.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration.py
@@ -44,6 +44,8 @@
         Time within which a response has its full worth to the caller.
     priority : int
         0 is the most urgent.
+    allow_anonymous : bool
+        Callers need no key, even if the configuration has accounts.
     """
 
     name: str
@@ -55,6 +57,31 @@
     timeout_s: float
     target_latency_s: float
     priority: int
+    allow_anonymous: bool = False
+
+
+class Account(NamedTuple):
+    """A client account, which owns keys and may have a quota.
+
+    Attributes
+    ----------
+    name : str
+    key_digests : tuple of bytes
+        SHA-256 digests of its keys.
+    priority : int or None
+        Takes precedence over the priority of the route; None if unset.
+    rate_per_s : float
+        Requests per second that all instances together admit; 0 without
+        limit.
+    burst : float
+        Requests that are admitted at once in addition.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...]
+    priority: int | None = None
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class CallerLimits(NamedTuple):
@@ -87,6 +114,8 @@
     routes : tuple of Route
     services : tuple of str
     limits : CallerLimits
+    accounts : tuple of Account
+        Without accounts, callers need no keys.
     """
 
     revision: int
@@ -94,6 +123,7 @@
     routes: tuple[Route, ...]
     services: tuple[str, ...]
     limits: CallerLimits
+    accounts: tuple[Account, ...] = ()
 
 
 class Registration(NamedTuple):
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -6,6 +6,7 @@
 from citronshelf_common import events as log_events
 from citronshelf_common import outcomes
 from citronshelf_entry import upstream
+from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
 from citronshelf_instance import dispatch
@@ -91,6 +92,7 @@
         self,
         request: caller_request.CallerRequest,
         routed: routing.RoutedService,
+        caller: caller_identity.Caller = caller_identity.ANONYMOUS,
     ) -> outcomes.Outcome:
         """Forward a request and return its final outcome.
 
@@ -100,7 +102,7 @@
         """
         self.budgets.get(routed.service).record_request()
         running = RunningRequest(
-            forwarder=self, request=request, routed=routed
+            forwarder=self, request=request, routed=routed, caller=caller
         )
         try:
             return await running.run()
@@ -121,11 +123,20 @@
     forwarder : Forwarder
     request : CallerRequest
     routed : RoutedService
+    caller : Caller
     """
 
-    def __init__(self, *, forwarder, request, routed):
+    def __init__(
+        self,
+        *,
+        forwarder,
+        request,
+        routed,
+        caller: caller_identity.Caller = caller_identity.ANONYMOUS,
+    ):
         self.forwarder = forwarder
         self.request = request
+        self.caller = caller
         self.route = routed.route
         self.service = routed.service
         timeout_s = (
--- a/libs/citronshelf_instance/citronshelf_instance/request_handler.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_handler.py
@@ -6,6 +6,7 @@
 
 from citronshelf_common import events as log_events
 from citronshelf_entry import request_head
+from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
 from citronshelf_instance import events
@@ -100,7 +101,8 @@
         if route is None:
             return self.refuse(request, self.refusal_without_route()), ''
         routed = self.state.routes.assign(route)
-        outcome = await self.forwarder.run(request, routed)
+        caller = caller_identity.ANONYMOUS
+        outcome = await self.forwarder.run(request, routed, caller)
         response = caller_response.from_outcome(
             outcome, head, self.forwarder.names
         )
--- a/libs/citronshelf_instance/citronshelf_instance/settings.py
+++ b/libs/citronshelf_instance/citronshelf_instance/settings.py
@@ -12,6 +12,7 @@
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
 Loss = Annotated[float, msgspec.Meta(ge=0, le=10)]
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=10)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Megabytes = Annotated[float, msgspec.Meta(ge=64)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
@@ -54,6 +55,39 @@
     window_s: Seconds
 
 
+class QuotasTable(TypedDict):
+    """Bound on the requests of an account in each window.
+
+    Over all instances, at most ``over`` times the quota of the window and
+    ``slack`` requests more than the quota may run.
+    """
+
+    window_s: Seconds
+    over: Ratio
+    slack: Annotated[float, msgspec.Meta(ge=0, le=100_000)]
+
+
+class AdmissionTable(TypedDict):
+    """Admission control by rank while a service is overloaded.
+
+    At least ``min_share`` of the requests of each rank is admitted.
+    """
+
+    min_share: Share
+
+
+class HedgingTable(TypedDict):
+    """Second attempts of idempotent requests whose response is slow.
+
+    At most ``limit`` of the requests get one. It may start after
+    ``quantile`` of the response times of its route, or after ``after_s``.
+    """
+
+    limit: Share
+    quantile: NotRequired[Share]
+    after_s: NotRequired[Seconds]
+
+
 class PlacementTable(TypedDict):
     """Costs of distance; losses are shares of a request's worth per KB."""
 
@@ -92,3 +126,6 @@
     placement: PlacementTable
     shutdown: ShutdownTable
     log: LogTable
+    quotas: NotRequired[QuotasTable]
+    admission: NotRequired[AdmissionTable]
+    hedging: NotRequired[HedgingTable]
--- a/libs/citronshelf_instance/tests/test_request_handler.py
+++ b/libs/citronshelf_instance/tests/test_request_handler.py
@@ -30,7 +30,7 @@
     def __init__(self, outcome):
         self.outcome = outcome
 
-    async def run(self, request, routed):
+    async def run(self, request, routed, caller):
         if isinstance(self.outcome, Exception):
             raise self.outcome
         return self.outcome
