instance: identify callers by the keys of their accounts

The published configuration may have client accounts. A request needs a key of its account, unless its route allows anonymous callers; servers get the name of the account and never the key. The caller is identified again before each dispatch, so that a withdrawn key ends with its configuration.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_request.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_request.py
@@ -42,6 +42,10 @@
         Set by a server on all of its responses.
     leaving : str
         Set to 1 by a server that wants no new work.
+    account : str
+        Name of the client account of a request, sent to servers.
+    key : str
+        Key with which a caller shows its client account.
     """
 
     request_id: str = 'X-Request-Id'
@@ -50,6 +54,8 @@
     not_run: str = 'X-Not-Run'
     signature: str = 'X-Signature'
     leaving: str = 'X-Leaving'
+    account: str = 'X-Account'
+    key: str = 'X-Account-Key'
 
 
 class RequestHead(NamedTuple):
--- a/libs/citronshelf_instance/citronshelf_instance/configuration.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration.py
@@ -8,6 +8,14 @@
 
 from citronshelf_common import fleet
 
+# An account name is sent as the value of a header. Keys have the same form.
+NAME_PATTERN = r'\A[!-~]{1,200}\Z'
+DIGEST_BYTES = 32
+AccountName = Annotated[str, msgspec.Meta(pattern=NAME_PATTERN)]
+KeyDigest = Annotated[
+    bytes, msgspec.Meta(min_length=DIGEST_BYTES, max_length=DIGEST_BYTES)
+]
+
 
 class WeightedService(NamedTuple):
     """Service that receives a part of a route's traffic.
@@ -77,8 +85,8 @@
         Requests that are admitted at once in addition.
     """
 
-    name: str
-    key_digests: tuple[bytes, ...]
+    name: AccountName
+    key_digests: tuple[KeyDigest, ...]
     priority: int | None = None
     rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -16,6 +16,7 @@
 from citronshelf_entry import response_memory
 from citronshelf_entry import upstream
 from citronshelf_instance import caller_connection
+from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
 from citronshelf_instance import dispatch
 from citronshelf_instance import events
@@ -141,10 +142,16 @@
         )
         self.peers.lend_credit = self.loans.lend
         self.peers.on_credit_reply = self.loans.receive
+        self.identifier = caller_identity.CallerIdentifier(
+            state=self.state,
+            is_up_to_date=self.reader.is_up_to_date,
+            names=names,
+        )
         self.forwarder = self.make_forwarder(clock)
         self.handler = request_handler.RequestHandler(
             state=self.state,
             reader=self.reader,
+            identifier=self.identifier,
             forwarder=self.forwarder,
             metrics=self.metrics,
             clock=clock,
@@ -172,6 +179,7 @@
             borrow=self.loans.borrow,
             observe=self.peers.evidence.record,
             report_leaving=self.peers.evidence.report_leaving,
+            identifier=self.identifier,
             metrics=self.metrics,
             clock=clock,
             max_response_bytes=min(
@@ -226,6 +234,11 @@
                 else 0
             ),
         )
+        add(
+            'account_keys',
+            'Keys of client accounts in force',
+            lambda: len(self.state.accounts.by_digest),
+        )
         add(
             'servers',
             'Registered servers',
--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -9,6 +9,7 @@
 from citronshelf_entry import exchange
 from citronshelf_entry import headers
 from citronshelf_entry import upstream
+from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
 from citronshelf_instance import configuration
 from citronshelf_instance import events
@@ -92,15 +93,26 @@
     forwarder : Forwarder
     request : CallerRequest
     route : Route
+    caller : Caller
     server : RegisteredServer
     expires_s : float
         Monotonic time by which the caller gets its final response.
     """
 
-    def __init__(self, *, forwarder, request, route, server, expires_s: float):
+    def __init__(
+        self,
+        *,
+        forwarder,
+        request,
+        route,
+        caller: caller_identity.Caller,
+        server,
+        expires_s: float,
+    ):
         self.forwarder = forwarder
         self.request = request
         self.route: configuration.Route = route
+        self.caller = caller
         self.server: registrations.RegisteredServer = server
         self.expires_s = expires_s
         self.started_s = forwarder.clock()
@@ -136,10 +148,14 @@
             (names.deadline, str(int(remaining_s * 1000))),
             (names.expected_server, self.server.server_id),
         )
+        if self.caller.account is not None:
+            added_headers += ((names.account, self.caller.account),)
         replaced = {name.lower() for name, _ in added_headers} | {
             'content-length',
             'expect',
         }
+        if self.caller.hides_headers:
+            replaced |= {names.account.lower(), names.key.lower()}
         return upstream.UpstreamRequest(
             request_id=head.request_id,
             address=self.server.registration.address,
@@ -176,10 +192,10 @@
         """Return whether the server may still get work.
 
         The client calls this just before sending: since it was chosen, the
-        server may have left, begun to drain or asked for time, or the request
-        may have ended.
+        server may have left, begun to drain or asked for time, the request
+        may have ended, or the caller's key may have been withdrawn.
         """
-        if self.aborted:
+        if self.aborted or not self.is_caller_confirmed():
             return False
         known = self.forwarder.placer.directory.servers.get(
             self.server.server_id
@@ -187,6 +203,18 @@
         now = self.forwarder.clock()
         return known is self.server and known.accepts_work(now)
 
+    def is_caller_confirmed(self) -> bool:
+        """Return whether the request still belongs to the same account."""
+        identifier = self.forwarder.identifier
+        if identifier is None:
+            return True
+        confirmed = identifier.confirm(
+            self.caller, self.request.head, self.route
+        )
+        return (
+            confirmed.is_ok() and confirmed.ok.account == self.caller.account
+        )
+
     def is_sent(self) -> bool:
         """Return whether the server may have received the request."""
         return self.exchange is not None and self.exchange.sends > 0
--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -143,3 +143,12 @@
 LOOP_DELAYED = Event(
     1943, 'loop-delayed', logging.WARNING, 'event loop ran late'
 )
+ACCOUNTS_IN_FORCE = Event(
+    1950, 'accounts-in-force', logging.INFO, 'accounts in force'
+)
+CALLER_CHANGED = Event(
+    1951,
+    'caller-changed',
+    logging.INFO,
+    'a new configuration changed the identity of a waiting caller',
+)
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -5,6 +5,7 @@
 
 from citronshelf_common import events as log_events
 from citronshelf_common import outcomes
+from citronshelf_entry import request_head
 from citronshelf_entry import upstream
 from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
@@ -31,6 +32,9 @@
 # reaches the caller before the caller gives up.
 RESPONSE_MARGIN_S = 0.01
 SHUTDOWN_REASON = 'shutdown'
+CALLER_CHANGED_REASON = 'account-changed'
+
+FinalOutcome = outcomes.Outcome | caller_identity.Refused
 
 
 class Forwarder:
@@ -52,6 +56,8 @@
         Monotonic seconds.
     report_leaving : callable
         Called with a ``RegisteredServer`` that announced that it leaves.
+    identifier : CallerIdentifier or None
+        Identifies callers again before each dispatch; None without accounts.
     max_response_bytes : int
         Larger responses are not passed on.
 
@@ -74,9 +80,11 @@
         metrics,
         clock,
         report_leaving=lambda server: None,
+        identifier: caller_identity.CallerIdentifier | None = None,
         max_response_bytes: int = dispatch.MAX_RESPONSE_BYTES,
     ):
         self.report_leaving = report_leaving
+        self.identifier = identifier
         self.max_response_bytes = max_response_bytes
         self.placer = placer
         self.client = client
@@ -93,7 +101,7 @@
         request: caller_request.CallerRequest,
         routed: routing.RoutedService,
         caller: caller_identity.Caller = caller_identity.ANONYMOUS,
-    ) -> outcomes.Outcome:
+    ) -> FinalOutcome:
         """Forward a request and return its final outcome.
 
         The request counts for the retry budget of its service. Dispatches that
@@ -156,8 +164,9 @@
         self.unknown_reason = ''
         self.failed_response: outcomes.Response | None = None
         self.not_run_reason = 'no-server'
+        self.refusal: request_head.RequestRefusal | None = None
 
-    async def run(self) -> outcomes.Outcome:
+    async def run(self) -> FinalOutcome:
         """Dispatch until there is an outcome and return it.
 
         This is when a good response arrives, the request expires or nothing
@@ -240,10 +249,11 @@
     def start(self, *, is_retry: bool) -> bool:
         """Dispatch to one more server if possible.
 
-        The route's limit of servers, the remaining time, a lack of usable
-        servers, the end of the instance or, for a retry, the retry budget can
-        prevent it. Without a credit, a retry is started later if another
-        instance lends one. Returns whether the request was dispatched.
+        The route's limit of servers, the remaining time, a caller whose key
+        was withdrawn, a lack of usable servers, the end of the instance or,
+        for a retry, the retry budget can prevent it. Without a credit, a
+        retry is started later if another instance lends one. Returns whether
+        the request was dispatched.
         """
         forwarder = self.forwarder
         now = forwarder.clock()
@@ -256,6 +266,8 @@
             return False
         if now + MIN_REMAINING_S >= self.expires_s:
             return False
+        if not self.confirm_caller():
+            return False
         server = forwarder.placer.choose(
             self.route,
             self.service,
@@ -274,6 +286,7 @@
             forwarder=forwarder,
             request=self.request,
             route=self.route,
+            caller=self.caller,
             server=server,
             expires_s=self.expires_s,
         )
@@ -285,6 +298,41 @@
             forwarder.metrics.count('hedges')
         return True
 
+    def confirm_caller(self) -> bool:
+        """Identify the caller by the configuration in force.
+
+        Returns False if it is refused, or if its account has changed after
+        the request was sent: two servers would get it for two accounts.
+        """
+        identifier = self.forwarder.identifier
+        if identifier is None:
+            return True
+        confirmed = identifier.confirm(
+            self.caller, self.request.head, self.route
+        )
+        if confirmed.is_error():
+            self.refusal = confirmed.error
+            self.log_changed_caller(self.refusal.reason)
+            return False
+        if confirmed.ok.account != self.caller.account:
+            self.log_changed_caller(CALLER_CHANGED_REASON)
+            if any(one.is_sent() for one in self.all_dispatches):
+                self.not_run_reason = CALLER_CHANGED_REASON
+                return False
+        self.caller = confirmed.ok
+        return True
+
+    def log_changed_caller(self, reason: str) -> None:
+        """Log that the caller is refused or has another account."""
+        log_events.log_event(
+            LOG,
+            events.CALLER_CHANGED,
+            request_id=self.request.head.request_id,
+            account=self.caller.account or '',
+            revision=self.caller.revision,
+            reason=reason,
+        )
+
     def try_spend_retry(self) -> bool:
         """Spend one retry from the retry budget; log the decision."""
         is_allowed = self.forwarder.budgets.get(self.service).try_spend()
@@ -357,7 +405,7 @@
         if self.route.idempotent and self.running:
             self.start(is_retry=True)
 
-    def time_out(self) -> outcomes.Outcome:
+    def time_out(self) -> FinalOutcome:
         """Return the outcome of an expired request.
 
         Running dispatches are recorded as timed out. If one of them may have
@@ -371,7 +419,7 @@
             )
         return self.final_outcome()
 
-    def stop(self) -> outcomes.Outcome:
+    def stop(self) -> FinalOutcome:
         """Return the outcome of a request that the shutdown ends."""
         response = self.collect_finished()
         if response is not None:
@@ -393,16 +441,18 @@
             for running_dispatch in self.running.values()
         )
 
-    def final_outcome(self) -> outcomes.Outcome:
+    def final_outcome(self) -> FinalOutcome:
         """Return the outcome of a request without a good response.
 
         A server's error response takes precedence, then ``Unknown`` if a
-        server may have run the request.
+        server may have run the request, then the refusal of the caller.
         """
         if self.failed_response is not None:
             return self.failed_response
         if self.unknown_reason:
             return outcomes.Unknown(reason=self.unknown_reason)
+        if self.refusal is not None:
+            return caller_identity.Refused(self.refusal)
         directory = self.forwarder.placer.directory
         return outcomes.NotRun(
             reason=self.not_run_reason,
--- a/libs/citronshelf_instance/citronshelf_instance/metrics.py
+++ b/libs/citronshelf_instance/citronshelf_instance/metrics.py
@@ -8,6 +8,7 @@
 COUNTER_HELP = {
     'requests': 'Requests of callers, by status',
     'refusals': 'Requests refused without a dispatch, by status and reason',
+    'callers': 'Requests by kind of caller: account or anonymous',
     'dispatches': 'Dispatches to backend servers, by result',
     'announcements': 'Announcements of servers in responses, by kind',
     'hedges': 'Second dispatches of requests whose answer is overdue',
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -5,6 +5,7 @@
 import random
 
 from citronshelf_common import events as log_events
+from citronshelf_instance import account_table
 from citronshelf_instance import configuration
 from citronshelf_instance import events
 from citronshelf_instance import registrations
@@ -43,6 +44,8 @@
         Revision of the newest configuration that could not be read.
     limits : CallerLimits or None
         Limits in force; None before the first configuration.
+    accounts : AccountTable
+        Accounts of the configuration in force.
     """
 
     def __init__(
@@ -62,6 +65,7 @@
         self.configuration: configuration.Configuration | None = None
         self.routes: routing.RouteTable | None = None
         self.limits: configuration.CallerLimits | None = None
+        self.accounts = account_table.AccountTable(accounts=())
         self.on_change = lambda: None
         self.routable = asyncio.Event()
 
@@ -167,6 +171,7 @@
         self.configuration = published
         self.limits = published.limits
         self.routes = routing.RouteTable(published=published, rng=self.rng)
+        self.replace_accounts(published)
         self.change_revision = max(self.change_revision, published.revision)
         log_events.log_event(
             LOG,
@@ -178,6 +183,22 @@
             source=source,
         )
 
+    def replace_accounts(self, published: configuration.Configuration) -> None:
+        """Replace the accounts; log the numbers of changed keys, if any."""
+        old = self.accounts.by_digest
+        self.accounts = account_table.AccountTable(accounts=published.accounts)
+        new = self.accounts.by_digest
+        if old or new:
+            log_events.log_event(
+                LOG,
+                events.ACCOUNTS_IN_FORCE,
+                revision=published.revision,
+                accounts=len(published.accounts),
+                keys=len(new),
+                added_keys=len(new.keys() - old.keys()),
+                withdrawn_keys=len(old.keys() - new.keys()),
+            )
+
     def record_unread(self, revision: int) -> None:
         """Record the revision of a configuration that cannot be read."""
         self.unread_revision = max(self.unread_revision, revision)
--- a/libs/citronshelf_instance/citronshelf_instance/request_handler.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_handler.py
@@ -1,6 +1,7 @@
 """Handling of callers' requests from routing to the final response."""
 
 import asyncio
+import dataclasses
 import logging
 import traceback
 
@@ -9,10 +10,12 @@
 from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
+from citronshelf_instance import configuration
 from citronshelf_instance import events
 from citronshelf_instance import forwarding
 from citronshelf_instance import metrics
 from citronshelf_instance import published
+from citronshelf_instance import routing
 from citronshelf_instance import store_reader
 
 LOG = logging.getLogger(__name__)
@@ -23,13 +26,40 @@
 MAX_TRACE_CHARACTERS = 2000
 
 
+@dataclasses.dataclass(kw_only=True)
+class HandledRequest:
+    """What the steps find out about one request.
+
+    Attributes
+    ----------
+    request : CallerRequest
+    routes : RouteTable or None
+        The table in which the route was found. Another one may be in force
+        after a step that waits.
+    route : Route or None
+    caller : Caller
+    routed : RoutedService or None
+        The route with the service that was chosen for the request.
+    """
+
+    request: caller_request.CallerRequest
+    routes: routing.RouteTable | None = None
+    route: configuration.Route | None = None
+    caller: caller_identity.Caller = caller_identity.ANONYMOUS
+    routed: routing.RoutedService | None = None
+
+
 class RequestHandler:
-    """Routes requests and refuses those that have no route.
+    """Takes requests through the steps that lead to a response.
+
+    Each step before the forwarding is a method that adds what it finds out
+    to a ``HandledRequest``, and returns a ``RequestRefusal`` or None.
 
     Parameters
     ----------
     state : PublishedState
     reader : StoreReader
+    identifier : CallerIdentifier
     forwarder : Forwarder
     metrics : InstanceMetrics
     clock : callable
@@ -41,12 +71,14 @@
         *,
         state: published.PublishedState,
         reader: store_reader.StoreReader,
+        identifier: caller_identity.CallerIdentifier,
         forwarder: forwarding.Forwarder,
         metrics: metrics.InstanceMetrics,
         clock,
     ):
         self.state = state
         self.reader = reader
+        self.identifier = identifier
         self.forwarder = forwarder
         self.metrics = metrics
         self.clock = clock
@@ -91,24 +123,78 @@
     ) -> tuple[caller_response.CallerResponse, str]:
         """Return the response to a request and the name of its route.
 
-        The name is empty if no route was found.
+        The name is empty if the request was refused before the forwarding.
         """
-        head = request.head
-        if not await self.wait_routable():
-            refusal = request_head.RequestRefusal(503, 'no configuration')
-            return self.refuse(request, refusal), ''
-        route = self.state.routes.match(head.host, head.path)
-        if route is None:
-            return self.refuse(request, self.refusal_without_route()), ''
-        routed = self.state.routes.assign(route)
-        caller = caller_identity.ANONYMOUS
-        outcome = await self.forwarder.run(request, routed, caller)
+        handled = HandledRequest(request=request)
+        refusal = await self.find_refusal(handled)
+        if refusal is not None:
+            return self.refuse(handled, refusal), ''
+        return await self.forward(handled), handled.route.name
+
+    async def find_refusal(
+        self, handled: HandledRequest
+    ) -> request_head.RequestRefusal | None:
+        """Take the steps before the forwarding, up to the first refusal."""
+        return (
+            await self.await_configuration()
+            or self.find_route(handled)
+            or self.identify_caller(handled)
+            or self.choose_service(handled)
+        )
+
+    async def await_configuration(self) -> request_head.RequestRefusal | None:
+        """Wait a short time for the first configuration."""
+        if await self.wait_routable():
+            return None
+        return request_head.RequestRefusal(503, 'no configuration')
+
+    def find_route(
+        self, handled: HandledRequest
+    ) -> request_head.RequestRefusal | None:
+        """Find the route of a request."""
+        head = handled.request.head
+        handled.routes = self.state.routes
+        handled.route = handled.routes.match(head.host, head.path)
+        return self.refusal_without_route() if handled.route is None else None
+
+    def identify_caller(
+        self, handled: HandledRequest
+    ) -> request_head.RequestRefusal | None:
+        """Identify the caller by the configuration in force."""
+        identified = self.identifier.identify(
+            handled.request.head, handled.route
+        )
+        if identified.is_error():
+            return identified.error
+        handled.caller = identified.ok
+        is_anonymous = handled.caller.account is None
+        self.metrics.count(
+            'callers', 'anonymous' if is_anonymous else 'account'
+        )
+        return None
+
+    def choose_service(
+        self, handled: HandledRequest
+    ) -> request_head.RequestRefusal | None:
+        """Choose a service of the route by the weights."""
+        handled.routed = handled.routes.assign(handled.route)
+        return None
+
+    async def forward(
+        self, handled: HandledRequest
+    ) -> caller_response.CallerResponse:
+        """Forward a request to a server and return the response."""
+        outcome = await self.forwarder.run(
+            handled.request, handled.routed, handled.caller
+        )
+        if isinstance(outcome, caller_identity.Refused):
+            return self.refuse(handled, outcome.refusal)
         response = caller_response.from_outcome(
-            outcome, head, self.forwarder.names
+            outcome, handled.request.head, self.forwarder.names
         )
         reason = getattr(outcome, 'reason', '')
-        self.log_request_end(request, response, route.name, reason)
-        return response, route.name
+        self.log_request_end(handled, response, reason)
+        return response
 
     async def wait_routable(self) -> bool:
         """Wait a short time until requests can be routed.
@@ -133,14 +219,14 @@
         return request_head.RequestRefusal(503, 'outdated configuration')
 
     def refuse(
-        self, request, refusal: request_head.RequestRefusal
+        self, handled: HandledRequest, refusal: request_head.RequestRefusal
     ) -> caller_response.CallerResponse:
-        """Count and log a refusal before a dispatch; return the response."""
+        """Count and log the refusal of a request; return the response."""
         self.metrics.record_refusal(refusal.status, refusal.reason)
         response = caller_response.from_refusal(
             refusal, closes_connection=False
         )
-        self.log_request_end(request, response, '', refusal.reason)
+        self.log_request_end(handled, response, refusal.reason)
         return response
 
     def record_unread_request(
@@ -169,11 +255,14 @@
         }
 
     def log_request_end(
-        self, request, response, route_name: str, reason: str
+        self,
+        handled: HandledRequest,
+        response: caller_response.CallerResponse,
+        reason: str,
     ) -> None:
         """Log the final response to a request and the reason for it."""
-        head = request.head
-        elapsed_s = self.clock() - request.arrived_s
+        head = handled.request.head
+        elapsed_s = self.clock() - handled.request.arrived_s
         log_events.log_event(
             LOG,
             events.REQUEST_ENDED,
@@ -181,7 +270,8 @@
             method=head.method[:32],
             host=head.host,
             path=head.path[:200],
-            route=route_name,
+            route=handled.route.name if handled.route else '',
+            account=handled.caller.account or '',
             deadline_s=head.deadline_s,
             status=response.status,
             reason=reason,
--- a/libs/citronshelf_instance/tests/instance_builders.py
+++ b/libs/citronshelf_instance/tests/instance_builders.py
@@ -1,10 +1,13 @@
 """Builders shared by the tests of the instance."""
 
 import random
+import time
 
 from citronshelf_common import fleet
+from citronshelf_instance import account_table
 from citronshelf_instance import configuration
 from citronshelf_instance import placement
+from citronshelf_instance import published
 from citronshelf_instance import registrations
 
 
@@ -85,3 +88,29 @@
         clock=clock,
         rng=random.Random(seed),
     )
+
+
+def make_account(name, *keys, **changes):
+    """Return an account with the digests of the given keys."""
+    digests = tuple(account_table.digest_of(key) for key in keys)
+    return configuration.Account(name, digests, **changes)
+
+
+def make_state(*, revision=5, routes=(), accounts=()):
+    """Return the state of an instance with one configuration in force."""
+    state = published.PublishedState(
+        directory=registrations.Directory(clock=time.monotonic),
+        clock=time.monotonic,
+        rng=random.Random(1),
+    )
+    publish(state, revision=revision, routes=routes, accounts=accounts)
+    return state
+
+
+def publish(state, *, revision, routes=(), accounts=()):
+    """Put another configuration in force."""
+    made = make_configuration(*routes, revision=revision, accounts=accounts)
+    state.replace(
+        configuration.Snapshot(revision, made, ()),
+        source=published.STORE_SOURCE,
+    )
--- a/libs/citronshelf_instance/tests/test_request_handler.py
+++ b/libs/citronshelf_instance/tests/test_request_handler.py
@@ -10,12 +10,14 @@
 from citronshelf_common import outcomes
 from citronshelf_entry import headers
 from citronshelf_entry import request_head
+from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
 from citronshelf_instance import configuration
 from citronshelf_instance import metrics
 from citronshelf_instance import published
 from citronshelf_instance import registrations
 from citronshelf_instance import request_handler
+from instance_builders import make_account
 from instance_builders import make_configuration
 
 FIRST = configuration.Snapshot(5, make_configuration(), ())
@@ -29,8 +31,10 @@
 
     def __init__(self, outcome):
         self.outcome = outcome
+        self.callers = []
 
     async def run(self, request, routed, caller):
+        self.callers.append(caller)
         if isinstance(self.outcome, Exception):
             raise self.outcome
         return self.outcome
@@ -54,21 +58,27 @@
     )
     if snapshot is not None:
         state.replace(snapshot, source=published.STORE_SOURCE)
+    reader = FixedReader(up_to_date)
     return request_handler.RequestHandler(
         state=state,
-        reader=FixedReader(up_to_date),
+        reader=reader,
+        identifier=caller_identity.CallerIdentifier(
+            state=state,
+            is_up_to_date=reader.is_up_to_date,
+            names=caller_request.HeaderNames(),
+        ),
         forwarder=ScriptedForwarder(outcome),
         metrics=metrics.InstanceMetrics(),
         clock=time.monotonic,
     )
 
 
-def make_request(target='/a/x', host='a.example'):
+def make_request(target='/a/x', host='a.example', extra=()):
     head = caller_request.RequestHead(
         method='GET',
         target=target,
         host=host,
-        headers=(('Host', host),),
+        headers=(('Host', host), *extra),
         framing=headers.Framing(0, False),
         request_id='r1',
         deadline_s=2.0,
@@ -139,6 +149,61 @@
         assert handle(make_handler(ValueError('x'))).status == 502
 
 
+class TestCallers:
+    """Requests with and without a key while accounts are in force."""
+
+    SNAPSHOT = FIRST._replace(
+        configuration=make_configuration(
+            accounts=(make_account('first', 'secret-1', priority=4),)
+        )
+    )
+    OK = outcomes.Response(status=200, headers=(), body=b'')
+
+    def test_account_reaches_later_steps_and_the_log(self, caplog):
+        handler = make_handler(self.OK, self.SNAPSHOT)
+        request = make_request(extra=(('x-account-KEY', 'secret-1'),))
+        with caplog.at_level(logging.INFO):
+            assert handle(handler, request).status == 200
+        [caller] = handler.forwarder.callers
+        assert (caller.account, caller.priority) == ('first', 4)
+        assert caplog.records[-1].account == 'first'
+        assert handler.metrics.counters['callers'].get({'kind': 'account'})
+
+    # Guards against a key in the log, a metric or the response.
+    @pytest.mark.parametrize('up_to_date, status', [(True, 401), (False, 503)])
+    def test_unknown_key_is_refused_and_shown_nowhere(
+        self, up_to_date, status, caplog
+    ):
+        handler = make_handler(self.OK, self.SNAPSHOT, up_to_date)
+        request = make_request(extra=(('X-Account-Key', 'secret-2'),))
+        with caplog.at_level(logging.INFO):
+            response = handle(handler, request)
+        assert response.status == status
+        assert handler.forwarder.callers == []
+        retry_after = headers.first_of(response.headers, 'retry-after')
+        assert bool(retry_after) == (status == 503)
+        record = caplog.records[-1]
+        assert (record.route, record.account) == ('lookup', '')
+        page, _ = handler.metrics.render()
+        for text in (repr(vars(record)), repr(response), page.decode()):
+            assert 'secret-2' not in text
+
+    def test_unknown_route_needs_no_key(self):
+        handler = make_handler(self.OK, self.SNAPSHOT)
+        assert handle(handler, make_request('/nowhere/')).status == 404
+
+    # Guards against a refusal of the forwarding that no metric shows.
+    def test_refusal_of_the_forwarder_is_counted(self):
+        refused = caller_identity.Refused(caller_identity.KEY_UNKNOWN)
+        handler = make_handler(refused)
+        response = handle(handler)
+        assert response.status == 401
+        assert 'Retry-After' not in dict(response.headers)
+        assert handler.metrics.counters['refusals'].get(
+            {'status': '401', 'reason': 'key unknown'}
+        )
+
+
 class TestUnreadRequests:
     """Requests that cannot be read are counted and logged."""
 
