entry: check the heads of responses as strictly as those of requests

Cause: libcurl passes on field names that are no tokens, blanks before the colon, control characters and bare line feeds, and the exchange split such lines without a check. It also removed NBSP and NEL from values.

Change: every line of a head, interim heads included, must be a status line or a field line by the pattern of request heads and end with CRLF; chunks in HTTP/1.0 are refused. The failure is a malformed answer: its execution is unknown and it counts against the server. Both data paths share the exchange.

--- a/libs/citronshelf_entry/citronshelf_entry/exchange.py
+++ b/libs/citronshelf_entry/citronshelf_entry/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import re
 from typing import NamedTuple
 
 import pycurl
@@ -10,6 +11,7 @@
 from citronshelf_entry import body_buffer
 from citronshelf_entry import classify
 from citronshelf_entry import headers
+from citronshelf_entry import request_head
 from citronshelf_entry import response_memory
 
 # A response up to this size is buffered until it is known to be complete; a
@@ -33,6 +35,10 @@
 MEMORY_FULL = 'answer-memory-full'
 SURPLUS_TRACE = b'Excess found'
 BODILESS_STATUSES = frozenset({204, 304})
+STATUS_LINE = re.compile(
+    rb'HTTP/1\.([01]) ([1-9][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?'
+)
+BLANKS = ' \t'
 
 
 class ResponseHead(NamedTuple):
@@ -131,7 +137,7 @@
         self.buffer = body_buffer.BodyBuffer()
         self.collecting = False
         self.paused = False
-        self.lines: list[str] = []
+        self.lines: list[bytes] = []
         self.head_bytes = 0
         self.changed = asyncio.Event()
 
@@ -193,13 +199,11 @@
             return self.refuse('oversized-head')
         if self.head is not None:
             return None
-        text = line.decode('latin-1').rstrip('\r\n')
-        if text.startswith('HTTP/') and not self.lines:
-            self.lines = [text]
-        elif text:
-            self.lines.append(text)
-        else:
+        if line == b'\r\n':
             return self.parse_head()
+        if not is_line_valid(line, is_first=not self.lines):
+            return self.refuse('malformed-answer')
+        self.lines.append(line.removesuffix(b'\r\n'))
         return None
 
     def parse_head(self) -> int | None:
@@ -209,10 +213,10 @@
         Returns 0, which aborts the transfer, when the head is rejected.
         """
         lines, self.lines = self.lines, []
-        words = lines[0].split(' ', 2) if lines else []
-        if len(words) < 2 or not words[1].isdigit():
+        if not lines:
             return self.refuse('malformed-answer')
-        status = int(words[1])
+        minor, code = STATUS_LINE.fullmatch(lines[0]).groups()
+        status = int(code)
         if status == 101:
             return self.refuse('unexpected-upgrade')
         if status < 200:
@@ -224,7 +228,7 @@
         if echoed != self.request_id:
             return self.refuse('answer-to-another-request')
         framing = self.provable_framing(status, pairs)
-        if framing is None:
+        if framing is None or (framing.chunked and minor == b'0'):
             return self.refuse('no-provable-end')
         if (framing.length or 0) > self.max_response_bytes:
             return self.refuse('answer-too-large')
@@ -447,10 +451,29 @@
     return raw_bytes - body_bytes > allowed_bytes
 
 
-def parse_header_line(line: str) -> tuple[str, str]:
-    """Split a header line; the value is empty if there is no colon."""
-    name, _, value = line.partition(':')
-    return name.strip(), value.strip()
+def is_line_valid(line: bytes, *, is_first: bool) -> bool:
+    """Return whether a line of a head is well-formed.
+
+    Response heads follow the rules of request heads: libcurl accepts bare
+    line feeds and field names that other parsers reject or read differently.
+
+    Parameters
+    ----------
+    line : bytes
+        With its line end.
+    is_first : bool
+        It must be a status line.
+    """
+    if not line.endswith(b'\r\n'):
+        return False
+    pattern = STATUS_LINE if is_first else request_head.HEADER_LINE
+    return pattern.fullmatch(line, 0, len(line) - 2) is not None
+
+
+def parse_header_line(line: bytes) -> tuple[str, str]:
+    """Split a valid header line into its name and value."""
+    name, _, value = line.decode('latin-1').partition(':')
+    return name, value.strip(BLANKS)
 
 
 def rejected_response(
