instance: one bound on the age of what is known in regions of every size

In regions of under 24 instances each instance watched the store with random waits of up to 12 s, and nothing bounded the age of what it knew. Now the readers of every region report to it. A region has 2 readers and one more for each 6 instances, at most 6; the first confirms the list every second. The others wait 4 to 12 s for changes, since the age of the list ends their watch.

--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -266,7 +266,7 @@
         Sends nothing while the store does not respond, so that the others
         watch it themselves.
         """
-        if not (self.readers.is_sharing() and self.readers.is_reader()):
+        if not self.readers.is_reader():
             return
         if not self.is_store_current():
             return
--- a/libs/citronshelf_instance/citronshelf_instance/reader_group.py
+++ b/libs/citronshelf_instance/citronshelf_instance/reader_group.py
@@ -4,21 +4,25 @@
 
 from citronshelf_instance import membership
 
-# Instances of a large region that watch the store.
+# Instances of a large region that watch the store. A small region has fewer,
+# so that it makes no more calls than if each instance watched the store.
 READERS = 6
-# In smaller regions every instance watches the store itself.
-MIN_SHARING_INSTANCES = 24
+MIN_READERS = 2
+INSTANCES_PER_READER = 6
 # An instance whose list of servers was last confirmed this long ago asks the
 # store. The limits of the readers grow with their rank, so that one of them
 # confirms the list for the region, and one more for each that gets no
 # response. A change must be in force within 2.5 s; the rest is for calls.
 FOLLOWER_AGE_LIMIT_S = 1.6
-READER_AGE_LIMIT_S = 1.0
-READER_AGE_STEP_S = 0.08
+READER_AGE_LIMIT_S = 1.2
+READER_AGE_STEP_S = 0.07
 # Interval at which one instance of a region that follows its readers reads the
 # store itself, so that readers that miss a change without noticing are found
-# soon. A region of any size makes as many of these calls.
+# soon. A large region of any size makes as many of these calls.
 REGION_POLL_INTERVAL_S = 1.25
+# A smaller region makes fewer: each follower polls as rarely as if the region
+# had this many instances.
+MIN_POLLING_INSTANCES = 16
 # A shorter time than this counts as none: no timer could wait for it.
 MIN_REMAINING_S = 0.001
 
@@ -43,21 +47,25 @@
         self.members = members
         self.list_age_s = list_age_s
 
-    def is_sharing(self) -> bool:
-        """Return whether only some instances of the region read the store."""
-        return len(self.members.in_region()) + 1 >= MIN_SHARING_INSTANCES
+    def region_size(self) -> int:
+        """Return the number of instances of the region, with this one."""
+        return len(self.members.in_region()) + 1
+
+    def reader_count(self) -> int:
+        """Return how many instances of the region read the store for it."""
+        share = MIN_READERS + self.region_size() // INSTANCES_PER_READER
+        return min(READERS, share)
 
     def is_reader(self) -> bool:
-        """Return whether this instance watches the store for others or itself.
+        """Return whether this instance watches the store for its region.
 
-        In a region that shares readers, these are the instances with the
-        smallest hashes of their names.
+        The readers are the instances with the smallest hashes of their names.
         """
-        return not self.is_sharing() or self.rank() < READERS
+        return self.rank() < self.reader_count()
 
     def is_confirming(self) -> bool:
         """Return whether this instance confirms the list for its region."""
-        return self.is_sharing() and self.rank() == 0
+        return self.rank() == 0
 
     def rank(self) -> int:
         """Return how many instances of the region precede this one."""
@@ -68,25 +76,20 @@
         )
 
     def others(self) -> list[membership.KnownMember]:
-        """Return the other readers of a region that shares readers."""
-        if not self.is_sharing():
-            return []
+        """Return the other readers of the region."""
         ranked = sorted(
             self.members.in_region(),
             key=lambda peer: rank_key(peer.member.instance),
         )
-        return ranked[:READERS]
+        return ranked[: self.reader_count()]
 
     def age_limit_s(self) -> float:
         """Return the age of the list from which this instance asks the store.
 
-        Infinite in regions that do not share readers, where each instance
-        learns of missed changes from the others.
+        It bounds the age of what an instance knows in regions of every size.
         """
-        if not self.is_sharing():
-            return float('inf')
         rank = self.rank()
-        if rank < READERS:
+        if rank < self.reader_count():
             return READER_AGE_LIMIT_S + rank * READER_AGE_STEP_S
         return FOLLOWER_AGE_LIMIT_S
 
@@ -100,21 +103,14 @@
 
     def poll_interval_s(self) -> float:
         """Return how often this instance reads the store as a follower."""
-        return REGION_POLL_INTERVAL_S * (len(self.members.in_region()) + 1)
+        return REGION_POLL_INTERVAL_S * max(
+            self.region_size(), MIN_POLLING_INSTANCES
+        )
 
     def is_covered(self) -> bool:
         """Return whether readers confirm the list for this instance."""
         return not self.is_reader() and self.remaining_s() > 0
 
-    def count_watching(self) -> int:
-        """Return about how many instances of all regions watch the store."""
-        if not self.is_sharing():
-            return self.members.count()
-        regions = {
-            peer.member.location.region for peer in self.members.known.values()
-        }
-        return READERS * max(1, len(regions))
-
 
 def rank_key(instance: str) -> tuple[int, str]:
     """Return the sort key by which readers are chosen."""
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -22,14 +22,12 @@
 # after another, one watch returns all the registrations that were made during
 # a pause.
 PAUSE_AFTER_CHANGE_S = 1.2
-# A watch may miss a change, and a lost connection is detected only when the
-# wait ends. Instances draw random waits whose upper bound grows with the
-# fleet, so that the first wait in a fleet of any size ends soon after the
-# minimum. That instance finds the missed change and announces it to the rest.
-MIN_WATCH_WAIT_S = 2.0
-WATCH_WAIT_PER_INSTANCE_S = 0.28
-# The platform cuts longer waits short.
-MAX_WATCH_WAIT_S = 28.0
+# Readers of a region wait this long for changes, except the first one. A
+# longer wait costs fewer calls. It delays no change, since the list is
+# confirmed more often by the first reader, and a watch that its readers outrun
+# is ended when the list becomes too old.
+MIN_WATCH_WAIT_S = 4.0
+MAX_WATCH_WAIT_S = 12.0
 INITIAL_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.5
 # A watch is restarted if it has not returned a revision that another instance
@@ -49,8 +47,9 @@
 # state is requested from a peer.
 SLOW_CALL_S = 0.3
 # The first reader of a region waits this long for changes, so that the list
-# is confirmed often while nothing changes.
-CONFIRMATION_WAIT_S = 0.8
+# is confirmed often while nothing changes. 0.2 s less than the age at which it
+# would call again, which leaves time for connecting between regions.
+CONFIRMATION_WAIT_S = 1.0
 # Changes of more registrations are read from the store by every instance.
 MAX_DELTA_REGISTRATIONS = 64
 
@@ -332,13 +331,7 @@
         """Return a wait in seconds for the next watch, in general random."""
         if self.group.is_confirming():
             return CONFIRMATION_WAIT_S
-        longest_s = (
-            MIN_WATCH_WAIT_S
-            + WATCH_WAIT_PER_INSTANCE_S * self.group.count_watching()
-        )
-        return self.rng.uniform(
-            MIN_WATCH_WAIT_S, min(longest_s, MAX_WATCH_WAIT_S)
-        )
+        return self.rng.uniform(MIN_WATCH_WAIT_S, MAX_WATCH_WAIT_S)
 
     async def wait_outdated(self) -> None:
         """Wait until a peer has known a newer revision for a while.
--- a/libs/citronshelf_instance/tests/virtual_fleet.py
+++ b/libs/citronshelf_instance/tests/virtual_fleet.py
@@ -46,11 +46,13 @@
     """Connections take ``CONNECT_S``, messages ``DELIVERY_S``.
 
     Connections to addresses without an instance are never established.
+    Messages are lost until ``silent_until_s``.
     """
 
     def __init__(self):
         self.links = {}
         self.sent = []
+        self.silent_until_s = float('-inf')
 
 
 class SlowLinks:
@@ -79,6 +81,8 @@
         if end is None or not (is_reply or loop.time() >= connected_s):
             return False
         self.network.sent.append(peer_messages.CODEC.decode(data).ok)
+        if loop.time() < self.network.silent_until_s:
+            return True
         source = self.address if is_reply else ('reply', self.address)
         loop.call_later(DELIVERY_S, end.on_message, source, data)
         return True
