instance: keep retry credits and earn the full ratio

With retries.kept_credits each instance has a token bucket that requests fill, so that any window has at most 0.2 x its requests and kept_credits for each instance.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -178,6 +178,7 @@
                 dispatch.MAX_RESPONSE_BYTES,
                 int(self.response_memory.limit_bytes * SINGLE_RESPONSE_SHARE),
             ),
+            max_resends=max_resends(self.table),
         )
 
     def record_dropped_response(
@@ -386,6 +387,7 @@
         seeds = self.table['peers']['seeds']
         self.peers.set_seeds([parse_address(text) for text in seeds])
         self.budgets.set_settings(make_budget_settings(self.table))
+        self.forwarder.max_resends = max_resends(self.table)
         self.forwarder.placer.distances = make_distance_costs(self.table)
 
     def unready_reason(self) -> str:
@@ -418,7 +420,18 @@
 ) -> retry_budget.BudgetSettings:
     """Return the settings of the retry budgets."""
     retries = table['retries']
-    return retry_budget.BudgetSettings(retries['ratio'], retries['window_s'])
+    return retry_budget.BudgetSettings(
+        retries['ratio'], retries['window_s'], retries.get('kept_credits')
+    )
+
+
+def max_resends(table: settings.Settings) -> int:
+    """Return how often a request may go to a server that shed it before.
+
+    Credits that expire are too few for it.
+    """
+    keeps_credits = 'kept_credits' in table['retries']
+    return forwarding.MAX_RESENDS if keeps_credits else 0
 
 
 def own_member(table: settings.Settings) -> peer_messages.Member:
--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -95,10 +95,22 @@
     server : RegisteredServer
     expires_s : float
         Monotonic time by which the caller gets its final response.
+    is_resend : bool
+        The server shed this request before.
     """
 
-    def __init__(self, *, forwarder, request, route, server, expires_s: float):
+    def __init__(
+        self,
+        *,
+        forwarder,
+        request,
+        route,
+        server,
+        expires_s: float,
+        is_resend: bool = False,
+    ):
         self.forwarder = forwarder
+        self.is_resend = is_resend
         self.request = request
         self.route: configuration.Route = route
         self.server: registrations.RegisteredServer = server
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -27,6 +27,10 @@
 MIN_STALL_S = 0.05
 # A request that expires within this time is not dispatched to a server.
 MIN_REMAINING_S = 0.02
+# A request that two servers shed is worth a third send only if they shed at
+# random. Where requests queue, servers shed because they are full.
+MAX_RESENDS = 1
+RESEND_MAX_SLOWNESS = 1.5
 # Subtracted from the deadline, so that the response that reports a timeout
 # reaches the caller before the caller gives up.
 RESPONSE_MARGIN_S = 0.01
@@ -54,6 +58,9 @@
         Called with a ``RegisteredServer`` that announced that it leaves.
     max_response_bytes : int
         Larger responses are not passed on.
+    max_resends : int
+        How often one request may be sent again to a server that shed it, if
+        no other server may be used.
 
     Attributes
     ----------
@@ -75,7 +82,9 @@
         clock,
         report_leaving=lambda server: None,
         max_response_bytes: int = dispatch.MAX_RESPONSE_BYTES,
+        max_resends: int = 0,
     ):
+        self.max_resends = max_resends
         self.report_leaving = report_leaving
         self.max_response_bytes = max_response_bytes
         self.placer = placer
@@ -145,7 +154,9 @@
         )
         self.expires_s = request.arrived_s + timeout_s
         self.tried: set[str] = set()
+        self.shed_by: set[str] = set()
         self.dispatches = 0
+        self.resends = 0
         self.failed_connections = 0
         self.running: dict[asyncio.Task, dispatch.Dispatch] = {}
         self.all_dispatches: list[dispatch.Dispatch] = []
@@ -224,8 +235,11 @@
         a limit of their own, ``MAX_FAILED_CONNECTIONS``.
         """
         self.not_run_reason = result.reason
-        if not result.refused_by_server:
-            self.dispatches -= 1
+        if result.refused_by_server:
+            self.shed_by.add(finished_dispatch.server.server_id)
+        else:
+            if not finished_dispatch.is_resend:
+                self.dispatches -= 1
             self.failed_connections += 1
             if self.failed_connections > MAX_FAILED_CONNECTIONS:
                 return
@@ -250,32 +264,29 @@
         if forwarder.ending:
             self.not_run_reason = SHUTDOWN_REASON
             return False
-        if self.dispatches >= max(1, self.route.max_servers):
-            return False
         if is_retry and self.loan is not None:
             return False
         if now + MIN_REMAINING_S >= self.expires_s:
             return False
-        server = forwarder.placer.choose(
-            self.route,
-            self.service,
-            self.request.head.request_id,
-            len(self.request.body),
-            self.tried,
-        )
+        server = self.choose_server()
         if server is None:
             return False
         if is_retry and not self.try_spend_retry():
             self.borrow_for_retry()
             return False
+        is_resend = server.server_id in self.tried
         self.tried.add(server.server_id)
-        self.dispatches += 1
+        if is_resend:
+            self.resends += 1
+        else:
+            self.dispatches += 1
         new_dispatch = dispatch.Dispatch(
             forwarder=forwarder,
             request=self.request,
             route=self.route,
             server=server,
             expires_s=self.expires_s,
+            is_resend=is_resend,
         )
         task = asyncio.create_task(new_dispatch.run())
         self.running[task] = new_dispatch
@@ -285,6 +296,39 @@
             forwarder.metrics.count('hedges')
         return True
 
+    def choose_server(self) -> registrations.RegisteredServer | None:
+        """Choose a new server, or one that shed the request if none is left.
+
+        A server counts once against the route's limit, however often it gets
+        the request. Returns None if the request may not be sent again.
+        """
+        if self.dispatches < max(1, self.route.max_servers):
+            server = self.choose_except(self.tried)
+            if server is not None:
+                return server
+        if self.running or self.resends >= self.forwarder.max_resends:
+            return None
+        usable = self.forwarder.placer.directory.usable(self.service)
+        excluded = {
+            server.server_id
+            for server in usable
+            if server.server_id not in self.shed_by
+            or server.estimate.slowness >= RESEND_MAX_SLOWNESS
+        }
+        if len(excluded) == len(usable):
+            return None
+        return self.choose_except(excluded)
+
+    def choose_except(self, excluded):
+        """Choose a server whose id is not excluded; None if none is left."""
+        return self.forwarder.placer.choose(
+            self.route,
+            self.service,
+            self.request.head.request_id,
+            len(self.request.body),
+            excluded,
+        )
+
     def try_spend_retry(self) -> bool:
         """Spend one retry from the retry budget; log the decision."""
         is_allowed = self.forwarder.budgets.get(self.service).try_spend()
@@ -303,7 +347,7 @@
             service=self.service,
             repeats=len(budget.retries),
             fresh=len(budget.requests),
-            credits=len(budget.expiries_s),
+            credits=budget.count_credits(),
             has_asked=not self.may_borrow,
         )
         forwarder.metrics.count('repeats' if is_allowed else 'repeats_denied')
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -551,7 +551,12 @@
         return any(self.send(address, message) for address in chosen)
 
     def ask_for_credit(
-        self, service: str, number: int, *, is_remote: bool
+        self,
+        service: str,
+        number: int,
+        *,
+        is_remote: bool,
+        limit: int | None = None,
     ) -> int:
         """Ask other instances for a credit of a retry budget.
 
@@ -562,6 +567,8 @@
             Identifies the request in the replies.
         is_remote : bool
             Ask the contacts in other regions instead of neighbours.
+        limit : int or None
+            Most neighbours to ask; ``CREDIT_PEERS`` if None.
 
         Returns
         -------
@@ -572,7 +579,9 @@
         if is_remote:
             chosen = self.zones.remote_contacts()
         else:
-            chosen = self.sample(self.zones.neighbours(), CREDIT_PEERS)
+            chosen = self.sample(
+                self.zones.neighbours(), limit or CREDIT_PEERS
+            )
         return sum(self.send(peer.member.address, message) for peer in chosen)
 
     def make_credit_reply(
--- a/libs/citronshelf_instance/citronshelf_instance/retry_budget.py
+++ b/libs/citronshelf_instance/citronshelf_instance/retry_budget.py
@@ -7,6 +7,9 @@
 
 # A credit that no retry needs is lost after this share of a window.
 CREDIT_LIFE_SHARE = 0.25
+# A lender that keeps credits may earn another one while a borrower holds the
+# lent one, so that more are kept in all. Borrowers usually spend it at once.
+BORROWED_LIFE_S = 0.2
 
 
 class BudgetSettings(NamedTuple):
@@ -18,21 +21,34 @@
         Retries per new request.
     window_s : float
         Length of the windows in which the ratio must hold.
+    kept_credits : float or None
+        Credits that each instance may keep without a time limit, at least 1.
+        A window can have this many retries of each instance above the ratio.
+        If None, credits expire instead.
     """
 
     ratio: float
     window_s: float
+    kept_credits: float | None = None
 
     def credit_life_s(self) -> float:
-        """Return how long a credit may be spent, in seconds."""
+        """Return how long a credit may be spent, in seconds.
+
+        For budgets that keep credits, this is the time for which a borrowed
+        credit may be spent.
+        """
+        if self.kept_credits is not None:
+            return BORROWED_LIFE_S
         return CREDIT_LIFE_SHARE * self.window_s
 
     def credits_per_request(self) -> float:
         """Return the credits that each request earns.
 
-        A window can spend the credits of its own requests and of those in one
-        ``credit_life_s`` before it.
+        If credits expire, a window can spend those of its own requests and of
+        the requests in one ``credit_life_s`` before it.
         """
+        if self.kept_credits is not None:
+            return self.ratio
         return self.ratio / (1 + CREDIT_LIFE_SHARE)
 
 
@@ -46,6 +62,10 @@
     of other instances: while they cannot reach each other, restart, or hand
     over their callers.
 
+    With ``kept_credits`` the budget is a token bucket that is filled by
+    requests. In any window an instance retries at most ``ratio`` of its
+    requests in this window and ``kept_credits`` more.
+
     Parameters
     ----------
     settings : BudgetSettings
@@ -56,9 +76,10 @@
     Attributes
     ----------
     earned : float
-        Part of the next credit.
+        Part of the next credit; with ``kept_credits``, all credits that this
+        instance has earned and not spent.
     expiries_s : list of float
-        Monotonic times at which the credits expire, sorted.
+        Monotonic times at which the other credits expire, sorted.
     requests, retries : collections.deque of float
         Monotonic times within the last window, for logs.
     """
@@ -79,13 +100,23 @@
         self.expire(now)
         self.requests.append(now)
         self.earned += self.settings.credits_per_request()
+        if self.settings.kept_credits is not None:
+            self.earned = min(self.earned, self.settings.kept_credits)
+            return
         while self.earned >= 1:
             self.earned -= 1
             self.add_credit(now + self.settings.credit_life_s())
 
     def add_credit(self, expires_s: float) -> None:
-        """Add a credit that may be spent before a monotonic time."""
-        bisect.insort(self.expiries_s, expires_s)
+        """Add a credit that may be spent before a monotonic time.
+
+        It is kept without a time limit if ``kept_credits`` allows one more.
+        """
+        kept_credits = self.settings.kept_credits
+        if kept_credits is not None and self.earned + 1 <= kept_credits:
+            self.earned += 1
+        else:
+            bisect.insort(self.expiries_s, expires_s)
 
     def try_spend(self) -> bool:
         """Spend one credit on a retry; return False if there is none."""
@@ -101,9 +132,18 @@
         """
         now = self.clock()
         self.expire(now)
-        if not self.expiries_s:
+        if self.expiries_s:
+            return self.expiries_s.pop(0) - now
+        if self.settings.kept_credits is None or self.earned < 1:
             return None
-        return self.expiries_s.pop(0) - now
+        self.earned -= 1
+        return self.settings.credit_life_s()
+
+    def count_credits(self) -> int:
+        """Return how many retries the budget could pay for now."""
+        self.expire(self.clock())
+        kept = 0 if self.settings.kept_credits is None else int(self.earned)
+        return len(self.expiries_s) + kept
 
     def expire(self, now: float) -> None:
         """Drop expired credits and the times before the last window."""
--- a/libs/citronshelf_instance/citronshelf_instance/retry_loans.py
+++ b/libs/citronshelf_instance/citronshelf_instance/retry_loans.py
@@ -13,6 +13,10 @@
 # After a request without success, none is sent for the service for this long:
 # while all instances need credits, asking brings none.
 LOAN_PAUSE_S = 0.1
+# Instances that are asked first if each keeps credits without a time limit.
+# Usually one of them has a credit; those of the others would be lost, since a
+# borrowed credit expires soon.
+FIRST_ASKED = (2, 6)
 
 
 class PendingLoan:
@@ -48,7 +52,8 @@
     budgets : RetryBudgets
     ask : callable
         Asks other instances for a credit, with the service, the number of the
-        request and ``is_remote``; returns how many were asked.
+        request, ``is_remote`` and ``limit``, the most instances to ask or
+        None; returns how many were asked.
     clock : callable
         Monotonic seconds.
     rng : random.Random
@@ -78,12 +83,23 @@
         now = self.clock()
         if now < self.paused_until_s.get(service, now):
             return
-        for is_remote in (False, True):
-            if await self.borrow_from(service, is_remote=is_remote):
+        for is_remote, limit in self.rounds():
+            if await self.borrow_from(
+                service, is_remote=is_remote, limit=limit
+            ):
                 return
         self.paused_until_s[service] = self.clock() + LOAN_PAUSE_S
 
-    async def borrow_from(self, service: str, *, is_remote: bool) -> bool:
+    def rounds(self) -> list[tuple[bool, int | None]]:
+        """Return ``is_remote`` and ``limit`` of the requests to send."""
+        first = []
+        if self.budgets.settings.kept_credits is not None:
+            first = [(False, limit) for limit in FIRST_ASKED]
+        return [*first, (False, None), (True, None)]
+
+    async def borrow_from(
+        self, service: str, *, is_remote: bool, limit: int | None = None
+    ) -> bool:
         """Ask some instances; return whether one of them lent a credit.
 
         Returns once a credit has arrived, all instances that were asked have
@@ -95,7 +111,9 @@
             service=service, asked_s=self.clock()
         )
         try:
-            loan.unanswered = self.ask(service, number, is_remote=is_remote)
+            loan.unanswered = self.ask(
+                service, number, is_remote=is_remote, limit=limit
+            )
             if loan.unanswered:
                 async with asyncio.timeout(LOAN_TIMEOUT_S):
                     await loan.decided.wait()
--- a/libs/citronshelf_instance/citronshelf_instance/settings.py
+++ b/libs/citronshelf_instance/citronshelf_instance/settings.py
@@ -14,6 +14,7 @@
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=10)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Megabytes = Annotated[float, msgspec.Meta(ge=64)]
+KeptCredits = Annotated[float, msgspec.Meta(ge=1, le=100)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 
@@ -48,11 +49,14 @@
 class RetriesTable(TypedDict):
     """Retry budget of each service, for the whole fleet in each window.
 
-    In any window the fleet retries at most ``ratio`` of its requests.
+    In any window the fleet retries at most ``ratio`` of its requests, and
+    ``kept_credits`` more for each instance. The product of ``kept_credits``
+    and the number of instances must not exceed the slack of the budget.
     """
 
     ratio: Ratio
     window_s: Seconds
+    kept_credits: NotRequired[KeptCredits]
 
 
 class QuotasTable(TypedDict):
--- a/libs/citronshelf_instance/tests/budget_model.py
+++ b/libs/citronshelf_instance/tests/budget_model.py
@@ -4,12 +4,15 @@
 import random
 
 from citronshelf_instance import retry_budget
+from citronshelf_instance import retry_loans
 from instance_builders import FakeClock
 
 RATIO = 0.2
 SLACK = 58.0
 WINDOW_S = 10.0
 SETTINGS = retry_budget.BudgetSettings(RATIO, WINDOW_S)
+KEEPING = SETTINGS._replace(kept_credits=1.5)
+LENDERS = 16
 
 
 class FleetModel:
@@ -20,6 +23,7 @@
     instances : int
     seed : int
     slack : float
+    settings : BudgetSettings
 
     Attributes
     ----------
@@ -30,8 +34,9 @@
     request_times_s, repeat_times_s : list of float
     """
 
-    def __init__(self, instances, *, seed=1, slack=SLACK):
+    def __init__(self, instances, *, seed=1, slack=SLACK, settings=SETTINGS):
         self.slack = slack
+        self.settings = settings
         self.clock = FakeClock()
         self.rng = random.Random(seed)
         self.groups = [0] * instances
@@ -45,20 +50,24 @@
     def restart(self, number):
         """Start an instance, in place of its previous process if any."""
         self.budgets[number] = retry_budget.RetryBudget(
-            settings=SETTINGS, clock=self.clock, rng=self.rng
+            settings=self.settings, clock=self.clock, rng=self.rng
         )
 
     def request(self, number, *, refused):
-        """Let an instance get a request; repeat it if it is refused."""
+        """Let an instance get a request; repeat it if it is refused.
+
+        Returns whether it was repeated.
+        """
         self.request_times_s.append(self.clock.now)
         self.budgets[number].record_request()
-        if refused:
-            self.repeat(number)
+        return refused and self.repeat(number)
 
     def repeat(self, number):
-        """Let an instance repeat a request if its budget allows it."""
-        if self.budgets[number].try_spend() or self.borrow(number):
+        """Repeat a request if the budget allows it; return whether it did."""
+        allowed = self.budgets[number].try_spend() or self.borrow(number)
+        if allowed:
             self.repeat_times_s.append(self.clock.now)
+        return allowed
 
     def borrow(self, number):
         """Spend a credit of another instance; return whether one had any."""
@@ -67,11 +76,18 @@
             for other, group in enumerate(self.groups)
             if other != number and group == self.groups[number]
         ]
-        for lender in self.rng.sample(lenders, min(16, len(lenders))):
-            valid_s = self.budgets[lender].pop_credit()
-            if valid_s is not None and self.rng.random() >= self.loss:
-                self.budgets[number].add_credit(self.clock.now + valid_s)
-        return self.budgets[number].try_spend()
+        rounds = [LENDERS]
+        if self.settings.kept_credits is not None:
+            rounds = [*retry_loans.FIRST_ASKED, LENDERS]
+        for limit in rounds:
+            asked = self.rng.sample(lenders, min(limit, len(lenders)))
+            for lender in asked:
+                valid_s = self.budgets[lender].pop_credit()
+                if valid_s is not None and self.rng.random() >= self.loss:
+                    self.budgets[number].add_credit(self.clock.now + valid_s)
+            if self.budgets[number].try_spend():
+                return True
+        return False
 
     def run(self, numbers, *, rate, seconds, refused_share):
         """Send requests to random instances of ``numbers`` for a time."""
--- a/libs/citronshelf_instance/tests/test_forwarding.py
+++ b/libs/citronshelf_instance/tests/test_forwarding.py
@@ -53,7 +53,8 @@
     Parameters
     ----------
     scripts : list
-        Response bytes of each server; a server with ``HANG`` never responds.
+        Response bytes of each server, or a list of those of its responses;
+        a server with ``HANG`` never responds.
     """
 
     def __init__(self, scripts):
@@ -88,11 +89,14 @@
     async def serve(self, number, reader, writer):
         head = await reader.readuntil(b'\r\n\r\n')
         self.heads.append((number, head.decode()))
-        if self.scripts[number] is HANG:
+        script = self.scripts[number]
+        if isinstance(script, list):
+            script = script.pop(0)
+        if script is HANG:
             await reader.read()
             self.closed.append(number)
         else:
-            writer.write(self.scripts[number])
+            writer.write(script)
             await writer.drain()
         writer.close()
 
@@ -120,7 +124,8 @@
 class Harness:
     """Forwarder to scripted servers, of which the first is preferred."""
 
-    def __init__(self, *scripts, ratio=3.0, loans=0, extra=()):
+    def __init__(self, *scripts, ratio=3.0, loans=0, extra=(), resends=0):
+        self.resends = resends
         self.servers = ScriptedServers(list(scripts))
         self.ratio = ratio
         self.loans = loans
@@ -151,6 +156,7 @@
             observe=self.observations.append,
             metrics=metrics.InstanceMetrics(),
             clock=time.monotonic,
+            max_resends=self.resends,
         )
         return self
 
@@ -325,6 +331,51 @@
         assert asyncio.run(run()).status == 200
 
 
+class TestResends:
+    """A request that servers shed at random may return to one of them."""
+
+    @pytest.mark.parametrize(
+        'scripts, numbers',
+        [
+            (([SHED, GOOD],), [0, 0]),
+            (([SHED, GOOD], SHED, GOOD), [0, 1, 0]),
+        ],
+    )
+    def test_server_that_shed_gets_it_again(self, scripts, numbers):
+        harness = Harness(*scripts, resends=1)
+        outcome, heads, _ = run_with(harness=harness, idempotent=False)
+        assert outcome.status == 200
+        assert [number for number, _ in heads] == numbers
+
+    # Guards against retries without end and against those without a credit.
+    @pytest.mark.parametrize(
+        'resends, ratio, sends', [(1, 3.0, 2), (0, 3.0, 1), (1, 0.0, 1)]
+    )
+    def test_resends_are_limited(self, resends, ratio, sends):
+        harness = Harness([SHED, SHED, GOOD], ratio=ratio, resends=resends)
+        outcome, heads, _ = run_with(harness=harness)
+        assert isinstance(outcome, outcomes.NotRun)
+        assert len(heads) == sends
+
+    # Guards against a second execution.
+    def test_request_that_may_have_run_does_not_return(self):
+        harness = Harness([SHED, GOOD], CLOSE, resends=1)
+        outcome, heads, _ = run_with(harness=harness, idempotent=False)
+        assert isinstance(outcome, outcomes.Unknown)
+        assert [number for number, _ in heads] == [0, 1]
+
+    # Where requests queue, a server sheds because it is full.
+    def test_server_with_a_queue_does_not_get_it_again(self):
+        async def run():
+            async with Harness([SHED, GOOD], resends=1) as harness:
+                harness.directory.servers['s0'].estimate.slowness = 4.0
+                return await harness.run(), len(harness.servers.heads)
+
+        outcome, sends = asyncio.run(run())
+        assert isinstance(outcome, outcomes.NotRun)
+        assert sends == 1
+
+
 class TestBorrowedCredits:
     """A retry without a credit waits for one of another instance."""
 
--- a/libs/citronshelf_instance/tests/test_retry_budget.py
+++ b/libs/citronshelf_instance/tests/test_retry_budget.py
@@ -180,6 +180,87 @@
         assert model.largest_excess() <= 0
 
 
+class TestKeptCredits:
+    """Credits without a time limit keep the sum within ratio and slack.
+
+    They answer servers that all shed a share of their arrivals at random.
+    """
+
+    def test_window_has_the_kept_credits_and_the_ratio(self):
+        clock = FakeClock()
+        budget = make_budget(clock)
+        budget.settings = budget_model.KEEPING
+        for _ in range(100):
+            budget.record_request()
+        clock.advance(1000.0)
+        assert count_spent(budget) == 1
+        for _ in range(100):
+            budget.record_request()
+            count_spent(budget)
+        assert len(budget.retries) <= 1.5 + 0.2 * 100
+
+    # Guards against retries that stop although the fleet's bound has room.
+    def test_more_is_retried_while_all_servers_shed(self):
+        retries = []
+        for settings in (budget_model.SETTINGS, budget_model.KEEPING):
+            model = budget_model.FleetModel(
+                128, slack=212.0, settings=settings
+            )
+            everyone = range(128)
+            model.run(everyone, rate=243, seconds=20, refused_share=0.0)
+            model.run(everyone, rate=243, seconds=12, refused_share=0.55)
+            assert model.largest_excess() <= 0
+            retries.append(len(model.repeat_times_s))
+        assert retries[1] > 1.15 * retries[0]
+
+    # Guards against groups of instances that each spend the whole slack.
+    @pytest.mark.parametrize('size', [36, 18, 6, 1])
+    def test_groups_keep_the_sum(self, size):
+        model = budget_model.FleetModel(36, settings=budget_model.KEEPING)
+        model.groups = [number // size for number in range(36)]
+        model.run(range(36), rate=60, seconds=20, refused_share=0.0)
+        model.run(range(36), rate=83, seconds=20, refused_share=0.9)
+        assert model.repeat_times_s
+        assert model.largest_excess() <= 0
+
+    @pytest.mark.parametrize('seconds', [1.0, 3.0, 5.0])
+    def test_callers_that_move_do_not_pay_twice(self, seconds):
+        model = budget_model.FleetModel(36, settings=budget_model.KEEPING)
+        model.run(range(18), rate=120, seconds=20, refused_share=0.0)
+        model.run(range(18), rate=120, seconds=seconds, refused_share=1.0)
+        model.run(range(18, 36), rate=120, seconds=12, refused_share=1.0)
+        assert model.largest_excess() <= 0
+
+    # Guards against a restarted process that spends the slack again. Each of
+    # the six instances may keep 1.5 credits; 6 more are for the part of a
+    # credit with which each of the restarted processes begins.
+    @given(st.integers(0, 2**32))
+    def test_sum_holds_for_restarts_and_any_views(self, seed):
+        model = budget_model.FleetModel(
+            6, seed=seed, slack=15.0, settings=budget_model.KEEPING
+        )
+        rng = model.rng
+        for _ in range(20):
+            number = rng.randrange(6)
+            model.restart(number)
+            model.groups[number] = rng.randrange(3)
+            model.loss = rng.choice([0.0, 0.5])
+            model.run(
+                rng.sample(range(6), rng.randint(1, 6)),
+                rate=rng.choice([2, 8, 30]),
+                seconds=rng.uniform(0, 8),
+                refused_share=rng.choice([0.0, 0.1, 1.0, 1.0]),
+            )
+        assert model.largest_excess() <= 0
+
+    def test_too_many_kept_credits_are_detected(self):
+        settings = budget_model.KEEPING._replace(kept_credits=4.0)
+        model = budget_model.FleetModel(36, settings=settings)
+        model.run(range(36), rate=60, seconds=60, refused_share=0.0)
+        model.run(range(36), rate=60, seconds=10, refused_share=1.0)
+        assert model.largest_excess() > 0
+
+
 def keep_lent_credits(budget):
     """Mutation: a lent credit stays with its lender."""
     budget.expire(budget.clock())
--- a/libs/citronshelf_instance/tests/test_retry_loans.py
+++ b/libs/citronshelf_instance/tests/test_retry_loans.py
@@ -31,7 +31,7 @@
             rng=random.Random(1),
         )
 
-    def ask(self, service, number, *, is_remote):
+    def ask(self, service, number, *, is_remote, limit):
         peers = self.remote_peers if is_remote else self.peers
         if peers:
             self.asked.append((service, number))
@@ -130,6 +130,31 @@
         assert run(scenario) == {}
 
 
+class TestKeptCredits:
+    """Lenders that keep credits are asked a few at a time."""
+
+    # Guards against credits of many lenders that one retry uses up, since a
+    # borrowed credit expires soon.
+    def test_few_are_asked_first(self):
+        async def scenario(instance):
+            instance.budgets.set_settings(SETTINGS._replace(kept_credits=1.5))
+            limits = []
+
+            def ask(service, number, *, is_remote, limit):
+                limits.append((is_remote, limit))
+                return 0
+
+            instance.loans.ask = ask
+            await instance.loans.borrow(SERVICE)
+            return limits
+
+        assert run(scenario) == [
+            *((False, limit) for limit in retry_loans.FIRST_ASKED),
+            (False, None),
+            (True, None),
+        ]
+
+
 class TestConservation:
     """Loans never add to the credits of the fleet."""
 
