--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -28,6 +28,10 @@
 MIN_STALL_S = 0.05
 # A request that expires within this time is not dispatched to a server.
 MIN_REMAINING_S = 0.02
+# A request that two servers shed is worth a third send only if they shed at
+# random. Where requests queue, servers shed because they are full.
+MAX_RESENDS = 1
+RESEND_MAX_SLOWNESS = 1.5
 # Subtracted from the deadline, so that the response that reports a timeout
 # reaches the caller before the caller gives up.
 RESPONSE_MARGIN_S = 0.01
@@ -60,6 +64,9 @@
         Identifies callers again before each dispatch; None without accounts.
     max_response_bytes : int
         Larger responses are not passed on.
+    max_resends : int
+        How often one request may be sent again to a server that shed it, if
+        no other server may be used.
 
     Attributes
     ----------
@@ -82,7 +89,9 @@
         report_leaving=lambda server: None,
         identifier: caller_identity.CallerIdentifier | None = None,
         max_response_bytes: int = dispatch.MAX_RESPONSE_BYTES,
+        max_resends: int = 0,
     ):
+        self.max_resends = max_resends
         self.report_leaving = report_leaving
         self.identifier = identifier
         self.max_response_bytes = max_response_bytes
@@ -153,7 +162,9 @@
         )
         self.expires_s = request.arrived_s + timeout_s
         self.tried: set[str] = set()
+        self.shed_by: set[str] = set()
         self.dispatches = 0
+        self.resends = 0
         self.failed_connections = 0
         self.running: dict[asyncio.Task, dispatch.Dispatch] = {}
         self.all_dispatches: list[dispatch.Dispatch] = []
@@ -233,8 +244,11 @@
         a limit of their own, ``MAX_FAILED_CONNECTIONS``.
         """
         self.not_run_reason = result.reason
-        if not result.refused_by_server:
-            self.dispatches -= 1
+        if result.refused_by_server:
+            self.shed_by.add(finished_dispatch.server.server_id)
+        else:
+            if not finished_dispatch.is_resend:
+                self.dispatches -= 1
             self.failed_connections += 1
             if self.failed_connections > MAX_FAILED_CONNECTIONS:
                 return
@@ -260,28 +274,24 @@
         if forwarder.ending:
             self.not_run_reason = SHUTDOWN_REASON
             return False
-        if self.dispatches >= max(1, self.route.max_servers):
-            return False
         if is_retry and self.loan is not None:
             return False
         if now + MIN_REMAINING_S >= self.expires_s:
             return False
         if not self.confirm_caller():
             return False
-        server = forwarder.placer.choose(
-            self.route,
-            self.service,
-            self.request.head.request_id,
-            len(self.request.body),
-            self.tried,
-        )
+        server = self.choose_server()
         if server is None:
             return False
         if is_retry and not self.try_spend_retry():
             self.borrow_for_retry()
             return False
+        is_resend = server.server_id in self.tried
         self.tried.add(server.server_id)
-        self.dispatches += 1
+        if is_resend:
+            self.resends += 1
+        else:
+            self.dispatches += 1
         new_dispatch = dispatch.Dispatch(
             forwarder=forwarder,
             request=self.request,
@@ -289,6 +299,7 @@
             caller=self.caller,
             server=server,
             expires_s=self.expires_s,
+            is_resend=is_resend,
         )
         task = asyncio.create_task(new_dispatch.run())
         self.running[task] = new_dispatch
@@ -298,6 +309,7 @@
             forwarder.metrics.count('hedges')
         return True
 
+<<<<<<< HEAD
     def confirm_caller(self) -> bool:
         """Identify the caller by the configuration in force.
 
@@ -331,6 +343,39 @@
             account=self.caller.account or '',
             revision=self.caller.revision,
             reason=reason,
+=======
+    def choose_server(self) -> registrations.RegisteredServer | None:
+        """Choose a new server, or one that shed the request if none is left.
+
+        A server counts once against the route's limit, however often it gets
+        the request. Returns None if the request may not be sent again.
+        """
+        if self.dispatches < max(1, self.route.max_servers):
+            server = self.choose_except(self.tried)
+            if server is not None:
+                return server
+        if self.running or self.resends >= self.forwarder.max_resends:
+            return None
+        usable = self.forwarder.placer.directory.usable(self.service)
+        excluded = {
+            server.server_id
+            for server in usable
+            if server.server_id not in self.shed_by
+            or server.estimate.slowness >= RESEND_MAX_SLOWNESS
+        }
+        if len(excluded) == len(usable):
+            return None
+        return self.choose_except(excluded)
+
+    def choose_except(self, excluded):
+        """Choose a server whose id is not excluded; None if none is left."""
+        return self.forwarder.placer.choose(
+            self.route,
+            self.service,
+            self.request.head.request_id,
+            len(self.request.body),
+            excluded,
+>>>>>>> admission
         )
 
     def try_spend_retry(self) -> bool:
@@ -351,7 +396,7 @@
             service=self.service,
             repeats=len(budget.retries),
             fresh=len(budget.requests),
-            credits=len(budget.expiries_s),
+            credits=budget.count_credits(),
             has_asked=not self.may_borrow,
         )
         forwarder.metrics.count('repeats' if is_allowed else 'repeats_denied')
