instance: quotas of accounts over all instances

Requests of a limited account need a token of its coordinator, whose token bucket counts lent tokens until they are void. Instances without contact admit equal shares, which coordinators then no longer grant. Requests that did not run give their token back; others beyond the quota get 429 with Retry-After.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -27,6 +27,8 @@
 from citronshelf_instance import peers
 from citronshelf_instance import placement
 from citronshelf_instance import published
+from citronshelf_instance import quota
+from citronshelf_instance import quota_exchange
 from citronshelf_instance import reader_group
 from citronshelf_instance import registrations
 from citronshelf_instance import request_handler
@@ -141,6 +143,17 @@
         )
         self.peers.lend_credit = self.loans.lend
         self.peers.on_credit_reply = self.loans.receive
+        self.quotas = quota_exchange.QuotaExchange(
+            own=self.own,
+            settings=make_quota_settings(table),
+            state=self.state,
+            members=self.members,
+            links=self.peers,
+            metrics=self.metrics,
+            rng=self.rng,
+        )
+        self.peers.on_quota_report = self.quotas.receive_report
+        self.peers.on_quota_reply = self.quotas.receive_reply
         self.forwarder = self.make_forwarder(clock)
         self.handler = request_handler.RequestHandler(
             state=self.state,
@@ -148,11 +161,13 @@
             forwarder=self.forwarder,
             metrics=self.metrics,
             clock=clock,
+            quotas=self.quotas,
         )
         self.server = self.make_server()
         self.loop_delay = loop_delay.LoopDelay(clock=clock)
         self.add_gauges(log_output)
         self.add_load_gauges()
+        self.quotas.add_gauges(self.metrics)
 
     def make_forwarder(self, clock) -> forwarding.Forwarder:
         """Return the forwarder to backend servers."""
@@ -325,6 +340,7 @@
                 group.create_task(self.links.run()),
                 group.create_task(self.peers.run()),
                 group.create_task(self.reader.run()),
+                group.create_task(self.quotas.run()),
                 group.create_task(self.watch_settings()),
                 group.create_task(self.loop_delay.run()),
             ]
@@ -340,6 +356,7 @@
                 task.cancel()
         ready_server.stop()
         metrics_server.stop()
+        self.quotas.close()
         self.peers.close()
         self.links.close()
         self.client.close()
@@ -382,10 +399,11 @@
         )
 
     def apply_settings(self) -> None:
-        """Apply seeds, retry budgets and distance costs from the settings."""
+        """Apply the settings of seeds, budgets, quotas and distances."""
         seeds = self.table['peers']['seeds']
         self.peers.set_seeds([parse_address(text) for text in seeds])
         self.budgets.set_settings(make_budget_settings(self.table))
+        self.quotas.set_settings(make_quota_settings(self.table))
         self.forwarder.placer.distances = make_distance_costs(self.table)
 
     def unready_reason(self) -> str:
@@ -421,6 +439,18 @@
     return retry_budget.BudgetSettings(retries['ratio'], retries['window_s'])
 
 
+def make_quota_settings(
+    table: settings.Settings,
+) -> quota.QuotaSettings | None:
+    """Return the settings of quotas, or None if there are none."""
+    quotas = table.get('quotas')
+    if quotas is None:
+        return None
+    return quota.QuotaSettings(
+        quotas['window_s'], quotas['over'], quotas['slack']
+    )
+
+
 def own_member(table: settings.Settings) -> peer_messages.Member:
     """Return this instance as a member, with a new nonce."""
     instance = table['instance']
--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -143,3 +143,33 @@
 LOOP_DELAYED = Event(
     1943, 'loop-delayed', logging.WARNING, 'event loop ran late'
 )
+QUOTA_EXCEEDED = Event(
+    1955,
+    'quota-exceeded',
+    logging.INFO,
+    'account exceeds its quota; refusing its requests',
+)
+QUOTA_COORDINATOR_SILENT = Event(
+    1956,
+    'quota-coordinator-silent',
+    logging.WARNING,
+    'coordinator of quotas does not reply',
+)
+QUOTA_COORDINATOR_HEARD = Event(
+    1957,
+    'quota-coordinator-heard',
+    logging.INFO,
+    'coordinator of quotas replies again',
+)
+QUOTA_SHARE_USED = Event(
+    1958,
+    'quota-share-used',
+    logging.WARNING,
+    'no coordinator of quotas is in contact; admitting equal shares',
+)
+QUOTA_LIMITS_IN_FORCE = Event(
+    1959,
+    'quota-limits-in-force',
+    logging.INFO,
+    'limits of accounts in force',
+)
--- a/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
@@ -10,6 +10,7 @@
 from citronshelf_common import wire
 from citronshelf_instance import configuration
 from citronshelf_instance import evidence
+from citronshelf_instance import quota
 
 MAX_MEMBERS = 512
 MAX_OBSERVATIONS = 256
@@ -245,6 +246,55 @@
     valid_s: Annotated[float, msgspec.Meta(ge=0, le=3600)] | None
 
 
+class QuotaReport(NamedTuple):
+    """Reports the use of quotas to a coordinator, as ``quota.Report``.
+
+    Instances send several of these messages a second, so the sender is not
+    described.
+
+    Attributes
+    ----------
+    sender_key : int
+        ``member_key`` of the sender.
+    session, number, seen, fleet : int
+    active : tuple of int
+    demands : tuple of Demand
+    """
+
+    sender_key: MemberKey
+    session: RequestNumber
+    number: RequestNumber
+    seen: RequestNumber
+    fleet: Annotated[int, msgspec.Meta(ge=1, le=2**20)]
+    active: Annotated[
+        tuple[quota.NameKey, ...], msgspec.Meta(max_length=quota.MAX_ACTIVE)
+    ]
+    demands: Annotated[
+        tuple[quota.Demand, ...], msgspec.Meta(max_length=quota.MAX_DEMANDS)
+    ]
+
+
+class QuotaReply(NamedTuple):
+    """The reply to ``QuotaReport``, as ``quota.Reply``.
+
+    Attributes
+    ----------
+    coordinator : int
+        ``quota.name_key`` of the sender.
+    session, number : int
+    is_known : bool
+    grants : tuple of Grant
+    """
+
+    coordinator: quota.NameKey
+    session: RequestNumber
+    number: RequestNumber
+    is_known: bool
+    grants: Annotated[
+        tuple[quota.Grant, ...], msgspec.Meta(max_length=quota.MAX_DEMANDS)
+    ]
+
+
 class Leave(NamedTuple):
     """Announces that the sender stops."""
 
@@ -267,6 +317,8 @@
         MembersRequest,
         EvidenceForZone,
         ServerLeavingForZone,
+        QuotaReport,
+        QuotaReply,
     )
 )
 
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -59,6 +59,11 @@
 JOIN_RETRY_INTERVAL_S = 0.1
 
 
+# Sent until the process ends: requests that arrive after the announcement of
+# the end need tokens too, and these messages make nobody a member.
+QUOTA_MESSAGES = (peer_messages.QuotaReport, peer_messages.QuotaReply)
+
+
 class InformedPeer(NamedTuple):
     """Route to an instance that announced a newer change."""
 
@@ -127,6 +132,8 @@
         self.is_store_current = lambda: False
         self.lend_credit = lambda service: None
         self.on_credit_reply = lambda number, valid_s: None
+        self.on_quota_report = lambda message, route: None
+        self.on_quota_reply = lambda message: None
         links.on_message = self.receive
 
     def set_seeds(self, seeds: list[fleet.Address]) -> None:
@@ -290,9 +297,9 @@
         """Send a message, connecting to the address first if needed.
 
         Returns False if the message was dropped because it could not be
-        queued, or because this instance has left.
+        queued, or because this instance has left and it is not on quotas.
         """
-        if self.has_left:
+        if self.has_left and not isinstance(message, QUOTA_MESSAGES):
             return False
         self.links.connect(address)
         return self.links.send(address, peer_messages.CODEC.encode(message))
@@ -303,7 +310,7 @@
         The own connection to a restarted instance may still lead to its
         previous process. Returns False as ``send`` does.
         """
-        if self.has_left:
+        if self.has_left and not isinstance(message, QUOTA_MESSAGES):
             return False
         return self.links.send(route, peer_messages.CODEC.encode(message))
 
@@ -322,6 +329,8 @@
             )
             return
         message = decoded.ok
+        if self.handle_quota_message(message, route):
+            return
         if message.sender.instance == self.own.instance:
             return
         if isinstance(message, peer_messages.Leave):
@@ -336,6 +345,20 @@
         if is_new and isinstance(message, peer_messages.Heartbeat):
             self.answer_greeting(message.sender, route)
 
+    def handle_quota_message(self, message, route) -> bool:
+        """Handle a message on quotas, which does not describe its sender.
+
+        Returns whether it is one.
+        """
+        match message:
+            case peer_messages.QuotaReport():
+                self.on_quota_report(message, route)
+            case peer_messages.QuotaReply():
+                self.on_quota_reply(message)
+            case _:
+                return False
+        return True
+
     def record_member(
         self, member: peer_messages.Member, record, route=None
     ) -> None:
--- a/libs/citronshelf_instance/citronshelf_instance/request_handler.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_handler.py
@@ -5,6 +5,7 @@
 import traceback
 
 from citronshelf_common import events as log_events
+from citronshelf_common import outcomes
 from citronshelf_entry import request_head
 from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
@@ -13,6 +14,8 @@
 from citronshelf_instance import forwarding
 from citronshelf_instance import metrics
 from citronshelf_instance import published
+from citronshelf_instance import quota
+from citronshelf_instance import quota_exchange
 from citronshelf_instance import store_reader
 
 LOG = logging.getLogger(__name__)
@@ -34,6 +37,8 @@
     metrics : InstanceMetrics
     clock : callable
         Monotonic seconds.
+    quotas : QuotaExchange or None
+        None if accounts have no quotas.
     """
 
     def __init__(
@@ -44,7 +49,9 @@
         forwarder: forwarding.Forwarder,
         metrics: metrics.InstanceMetrics,
         clock,
+        quotas: quota_exchange.QuotaExchange | None = None,
     ):
+        self.quotas = quotas
         self.state = state
         self.reader = reader
         self.forwarder = forwarder
@@ -100,9 +107,17 @@
         route = self.state.routes.match(head.host, head.path)
         if route is None:
             return self.refuse(request, self.refusal_without_route()), ''
-        routed = self.state.routes.assign(route)
         caller = caller_identity.ANONYMOUS
+        token = await self.check_quota(caller)
+        if isinstance(token, quota.Refused):
+            refusal = request_head.RequestRefusal(
+                429, 'quota', retry_after_s=token.wait_s
+            )
+            return self.refuse(request, refusal), route.name
+        routed = self.state.routes.assign(route)
         outcome = await self.forwarder.run(request, routed, caller)
+        if token is not None and isinstance(outcome, outcomes.NotRun):
+            self.quotas.give_back(token)
         response = caller_response.from_outcome(
             outcome, head, self.forwarder.names
         )
@@ -110,6 +125,14 @@
         self.log_request_end(request, response, route.name, reason)
         return response, route.name
 
+    async def check_quota(
+        self, caller: caller_identity.Caller
+    ) -> quota.Token | quota.Refused | None:
+        """Take a token of the caller's account; None if it has no limit."""
+        if self.quotas is None or caller.account is None:
+            return None
+        return await self.quotas.admit(caller.account)
+
     async def wait_routable(self) -> bool:
         """Wait a short time until requests can be routed.
 
--- a/libs/citronshelf_instance/tests/test_odd_messages.py
+++ b/libs/citronshelf_instance/tests/test_odd_messages.py
@@ -10,8 +10,12 @@
 from citronshelf_common import fleet
 from citronshelf_instance import configuration
 from citronshelf_instance import evidence
+from citronshelf_instance import metrics
 from citronshelf_instance import peer_messages
+from citronshelf_instance import quota
+from citronshelf_instance import quota_exchange
 from instance_builders import FakeClock
+from instance_builders import make_configuration
 import peer_fleet
 
 NAMES = strategies.sampled_from(['', 'i0', 'i1', 'i2', 'i9', 'x' * 128])
@@ -60,6 +64,25 @@
     strategies.dictionaries(SERVER_IDS, strategies.none(), max_size=2),
 )
 OPTIONAL_AGES = strategies.none() | AGES
+TOKENS = strategies.sampled_from([0, 1, quota.MAX_TOKENS])
+TOTALS = strategies.sampled_from([0, 1, quota.MAX_COUNT])
+ACCOUNTS = strategies.sampled_from(['', 'a', 'b'])
+QUOTA_KEYS = strategies.sampled_from([0, quota.name_key('i1')])
+DEMANDS = strategies.lists(
+    strategies.builds(
+        quota.Demand, ACCOUNTS, TOTALS, TOTALS, TOKENS, TOKENS, TOKENS
+    ),
+    max_size=3,
+).map(tuple)
+GRANTS = strategies.lists(
+    strategies.builds(
+        quota.Grant,
+        ACCOUNTS,
+        TOTALS,
+        strategies.sampled_from([0.0, 3600.0, float('nan'), float('inf')]),
+    ),
+    max_size=3,
+).map(tuple)
 MESSAGES = strategies.one_of(
     strategies.builds(peer_messages.Join, MEMBERS, REVISIONS),
     strategies.builds(
@@ -102,6 +125,24 @@
         strategies.none() | strategies.sampled_from([0.0, 3600.0]),
     ),
     strategies.builds(peer_messages.Leave, MEMBERS),
+    strategies.builds(
+        peer_messages.QuotaReport,
+        KEYS,
+        REVISIONS,
+        REVISIONS,
+        REVISIONS,
+        strategies.sampled_from([1, 2**20]),
+        strategies.lists(KEYS, max_size=3).map(tuple),
+        DEMANDS,
+    ),
+    strategies.builds(
+        peer_messages.QuotaReply,
+        QUOTA_KEYS,
+        REVISIONS,
+        REVISIONS,
+        strategies.booleans(),
+        GRANTS,
+    ),
 )
 PACKED = MESSAGES.map(peer_messages.CODEC.encode) | strategies.binary(
     max_size=40
@@ -118,6 +159,28 @@
     )
 
 
+def add_quotas(one):
+    """Let an instance exchange the quota of an account."""
+    account = configuration.Account('a', (), None, 1.0, 1.0)
+    one.state.apply_configuration(
+        make_configuration(revision=9, accounts=(account,)), 'test'
+    )
+    quotas = quota_exchange.QuotaExchange(
+        own=one.own,
+        settings=quota.QuotaSettings(5.0, 0.25, 20.0),
+        state=one.state,
+        members=one.members,
+        links=one,
+        metrics=metrics.InstanceMetrics(),
+        rng=one.rng,
+        clock=one.clock,
+    )
+    quotas.update_limits()
+    one.on_quota_report = quotas.receive_report
+    one.on_quota_reply = quotas.receive_reply
+    return quotas
+
+
 async def deliver(clock, messages):
     """Deliver messages to one instance and run its periodic work.
 
@@ -129,13 +192,17 @@
     group = peer_fleet.Fleet(clock)
     await group.step(rounds=3)
     one = group.instances[1]
+    quotas = add_quotas(one)
     for data in messages:
         one.receive(peer_fleet.FakeRoute(one.own.address), data)
+        quotas.tick()
+    await quotas.admit('a')
     await group.step(rounds=3)
     one.evidence.record(
         evidence.Observation('s1', evidence.HealthSignal.FAILED, 0.0)
     )
     await asyncio.sleep(0.01)
+    quotas.close()
     one.close()
     return errors
 
--- a/libs/citronshelf_instance/tests/test_request_handler.py
+++ b/libs/citronshelf_instance/tests/test_request_handler.py
@@ -10,10 +10,12 @@
 from citronshelf_common import outcomes
 from citronshelf_entry import headers
 from citronshelf_entry import request_head
+from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
 from citronshelf_instance import configuration
 from citronshelf_instance import metrics
 from citronshelf_instance import published
+from citronshelf_instance import quota
 from citronshelf_instance import registrations
 from citronshelf_instance import request_handler
 from instance_builders import make_configuration
@@ -151,3 +153,54 @@
         assert (record.status, record.request_id) == (413, 'r1')
         assert record.configuration_revision == 5
         assert 0 <= record.configuration_age_s < 5
+
+
+class ScriptedQuotas:
+    """Stands in for ``QuotaExchange`` with a fixed decision."""
+
+    def __init__(self, decision):
+        self.decision = decision
+        self.returned = []
+
+    async def admit(self, account):
+        return self.decision
+
+    def give_back(self, token):
+        self.returned.append(token)
+
+
+class TestQuota:
+    """The quota of the caller's account is checked before a dispatch."""
+
+    CALLER = caller_identity.Caller('a')
+    TOKEN = quota.Token('a', None)
+
+    def make_handler(self, outcome, decision, monkeypatch):
+        monkeypatch.setattr(caller_identity, 'ANONYMOUS', self.CALLER)
+        handler = make_handler(outcome)
+        handler.quotas = ScriptedQuotas(decision)
+        return handler
+
+    def test_refusal_says_when_to_return(self, monkeypatch):
+        handler = self.make_handler(
+            AssertionError('dispatched'), quota.Refused(2.0), monkeypatch
+        )
+        response = handle(handler)
+        retry_after = headers.first_of(response.headers, 'retry-after')
+        assert response.status == 429
+        assert 2.0 <= float(retry_after) <= 2.4
+
+    @pytest.mark.parametrize(
+        'outcome, returned',
+        [
+            (outcomes.NotRun(reason='no-server'), [TOKEN]),
+            (outcomes.Unknown(reason='reset'), []),
+            (outcomes.Response(status=500, headers=(), body=b''), []),
+        ],
+    )
+    def test_request_that_did_not_run_gives_its_token_back(
+        self, outcome, returned, monkeypatch
+    ):
+        handler = self.make_handler(outcome, self.TOKEN, monkeypatch)
+        handle(handler)
+        assert handler.quotas.returned == returned
