--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -309,7 +309,6 @@
             forwarder.metrics.count('hedges')
         return True
 
-<<<<<<< HEAD
     def confirm_caller(self) -> bool:
         """Identify the caller by the configuration in force.
 
@@ -343,7 +342,8 @@
             account=self.caller.account or '',
             revision=self.caller.revision,
             reason=reason,
-=======
+        )
+
     def choose_server(self) -> registrations.RegisteredServer | None:
         """Choose a new server, or one that shed the request if none is left.
 
@@ -375,7 +375,6 @@
             self.request.head.request_id,
             len(self.request.body),
             excluded,
->>>>>>> admission
         )
 
     def try_spend_retry(self) -> bool:
--- a/libs/citronshelf_instance/citronshelf_instance/request_handler.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_handler.py
@@ -6,6 +6,7 @@
 import traceback
 
 from citronshelf_common import events as log_events
+from citronshelf_common import outcomes
 from citronshelf_entry import request_head
 from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
@@ -15,6 +16,8 @@
 from citronshelf_instance import forwarding
 from citronshelf_instance import metrics
 from citronshelf_instance import published
+from citronshelf_instance import quota
+from citronshelf_instance import quota_exchange
 from citronshelf_instance import routing
 from citronshelf_instance import store_reader
 
@@ -40,6 +43,8 @@
     caller : Caller
     routed : RoutedService or None
         The route with the service that was chosen for the request.
+    token : Token or None
+        Token of the account's quota; None if it has no limit.
     """
 
     request: caller_request.CallerRequest
@@ -47,6 +52,7 @@
     route: configuration.Route | None = None
     caller: caller_identity.Caller = caller_identity.ANONYMOUS
     routed: routing.RoutedService | None = None
+    token: quota.Token | None = None
 
 
 class RequestHandler:
@@ -64,6 +70,8 @@
     metrics : InstanceMetrics
     clock : callable
         Monotonic seconds.
+    quotas : QuotaExchange or None
+        None if accounts have no quotas.
     """
 
     def __init__(
@@ -75,7 +83,9 @@
         forwarder: forwarding.Forwarder,
         metrics: metrics.InstanceMetrics,
         clock,
+        quotas: quota_exchange.QuotaExchange | None = None,
     ):
+        self.quotas = quotas
         self.state = state
         self.reader = reader
         self.identifier = identifier
@@ -128,6 +138,7 @@
         handled = HandledRequest(request=request)
         refusal = await self.find_refusal(handled)
         if refusal is not None:
+            self.return_token(handled)
             return self.refuse(handled, refusal), ''
         return await self.forward(handled), handled.route.name
 
@@ -139,6 +150,7 @@
             await self.await_configuration()
             or self.find_route(handled)
             or self.identify_caller(handled)
+            or await self.check_quota(handled)
             or self.choose_service(handled)
         )
 
@@ -187,6 +199,8 @@
         outcome = await self.forwarder.run(
             handled.request, handled.routed, handled.caller
         )
+        if isinstance(outcome, outcomes.NotRun | caller_identity.Refused):
+            self.return_token(handled)
         if isinstance(outcome, caller_identity.Refused):
             return self.refuse(handled, outcome.refusal)
         response = caller_response.from_outcome(
@@ -196,6 +210,33 @@
         self.log_request_end(handled, response, reason)
         return response
 
+    async def check_quota(
+        self, handled: HandledRequest
+    ) -> request_head.RequestRefusal | None:
+        """Take a token of the caller's account, if it has a limit."""
+        account = handled.caller.account
+        if self.quotas is None or account is None:
+            return None
+        try:
+            token = await self.quotas.admit(account)
+        except asyncio.CancelledError:
+            if not self.forwarder.ending:
+                raise
+            asyncio.current_task().uncancel()
+            return request_head.RequestRefusal(503, 'shutting down')
+        if isinstance(token, quota.Refused):
+            return request_head.RequestRefusal(
+                429, 'quota', retry_after_s=token.wait_s
+            )
+        handled.token = token
+        return None
+
+    def return_token(self, handled: HandledRequest) -> None:
+        """Give back the token of a request that did not run."""
+        if handled.token is not None:
+            self.quotas.give_back(handled.token)
+            handled.token = None
+
     async def wait_routable(self) -> bool:
         """Wait a short time until requests can be routed.
 
--- a/libs/citronshelf_instance/tests/test_request_handler.py
+++ b/libs/citronshelf_instance/tests/test_request_handler.py
@@ -5,6 +5,7 @@
 import random
 import time
 
+from expression import Ok
 import pytest
 
 from citronshelf_common import outcomes
@@ -15,6 +16,7 @@
 from citronshelf_instance import configuration
 from citronshelf_instance import metrics
 from citronshelf_instance import published
+from citronshelf_instance import quota
 from citronshelf_instance import registrations
 from citronshelf_instance import request_handler
 from instance_builders import make_account
@@ -50,6 +52,16 @@
         return self.up_to_date
 
 
+class FixedIdentifier:
+    """Identifies every caller as the same one."""
+
+    def __init__(self, caller):
+        self.caller = caller
+
+    def identify(self, head, route):
+        return Ok(self.caller)
+
+
 def make_handler(outcome=None, snapshot=FIRST, up_to_date=True):
     state = published.PublishedState(
         directory=registrations.Directory(clock=time.monotonic),
@@ -216,3 +228,54 @@
         assert (record.status, record.request_id) == (413, 'r1')
         assert record.configuration_revision == 5
         assert 0 <= record.configuration_age_s < 5
+
+
+class ScriptedQuotas:
+    """Stands in for ``QuotaExchange`` with a fixed decision."""
+
+    def __init__(self, decision):
+        self.decision = decision
+        self.returned = []
+
+    async def admit(self, account):
+        return self.decision
+
+    def give_back(self, token):
+        self.returned.append(token)
+
+
+class TestQuota:
+    """The quota of the caller's account is checked before a dispatch."""
+
+    CALLER = caller_identity.Caller('a')
+    TOKEN = quota.Token('a', None)
+
+    def make_handler(self, outcome, decision):
+        handler = make_handler(outcome)
+        handler.identifier = FixedIdentifier(self.CALLER)
+        handler.quotas = ScriptedQuotas(decision)
+        return handler
+
+    def test_refusal_says_when_to_return(self):
+        handler = self.make_handler(
+            AssertionError('dispatched'), quota.Refused(2.0)
+        )
+        response = handle(handler)
+        retry_after = headers.first_of(response.headers, 'retry-after')
+        assert response.status == 429
+        assert 2.0 <= float(retry_after) <= 2.4
+
+    @pytest.mark.parametrize(
+        'outcome, returned',
+        [
+            (outcomes.NotRun(reason='no-server'), [TOKEN]),
+            (outcomes.Unknown(reason='reset'), []),
+            (outcomes.Response(status=500, headers=(), body=b''), []),
+        ],
+    )
+    def test_request_that_did_not_run_gives_its_token_back(
+        self, outcome, returned
+    ):
+        handler = self.make_handler(outcome, self.TOKEN)
+        handle(handler)
+        assert handler.quotas.returned == returned
