entry: send a HEAD with a body as HEAD

Cause: tornado's curl client sets UPLOAD for it, which makes it a PUT.

Change: it is set up as a POST with a custom method, like a GET with a body, and its transfer ends after the head, since libcurl would wait for a body.

Seen: servers get HEAD with the body. The new test was not run on the code before the change.

--- a/libs/citronshelf_entry/citronshelf_entry/exchange.py
+++ b/libs/citronshelf_entry/citronshelf_entry/exchange.py
@@ -104,6 +104,9 @@
     rules : ResponseRules
     memory : ResponseMemory or None
         Counts the buffered bytes and can end the exchange.
+    ends_after_head : bool
+        End the transfer after the head: libcurl would wait for a body, which
+        the response to a HEAD sent as a custom method does not have.
     """
 
     def __init__(
@@ -116,7 +119,9 @@
         may_send: Callable[[], bool],
         rules: ResponseRules = ResponseRules(),
         memory: response_memory.ResponseMemory | None = None,
+        ends_after_head: bool = False,
     ):
+        self.ends_after_head = ends_after_head
         self.rules = rules
         self.memory = memory
         self.method = method
@@ -234,7 +239,7 @@
             return self.refuse('answer-too-large')
         self.head = ResponseHead(status, pairs, framing)
         self.changed.set()
-        return None
+        return 0 if self.ends_after_head else None
 
     def provable_framing(self, status, pairs) -> headers.Framing | None:
         """Return the framing; None if the end of the body is not determined.
@@ -310,7 +315,7 @@
         errno : int
             Error number of libcurl; 0 for success.
         """
-        if errno:
+        if errno and not self.is_ended_after_head(errno):
             self.fail(self.classify_error(errno))
             return
         if self.refusal:
@@ -326,6 +331,14 @@
         self.ended = True
         self.changed.set()
 
+    def is_ended_after_head(self, errno: int) -> bool:
+        """Return whether the error is that of a transfer ended on purpose."""
+        return (
+            errno == pycurl.E_WRITE_ERROR
+            and self.ends_after_head
+            and self.head is not None
+        )
+
     def classify_error(self, errno: int) -> classify.Failure:
         """Return the failure that a libcurl error means for this exchange."""
         progress = classify.Progress(
--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -229,6 +229,10 @@
             may_send=upstream_request.may_send,
             rules=upstream_request.rules,
             memory=self.memory,
+            ends_after_head=(
+                upstream_request.method == 'HEAD'
+                and has_unusual_body(upstream_request)
+            ),
         )
         if self.curl.idle_handles() <= 0:
             started.fail(CLIENT_FULL)
@@ -341,7 +345,7 @@
         f'http://{upstream_request.address.authority()}'
         f'{upstream_request.target}',
         method='POST'
-        if is_get_with_body(upstream_request)
+        if has_unusual_body(upstream_request)
         else upstream_request.method,
         body=request_body(upstream_request),
         connect_timeout=min(
@@ -359,13 +363,15 @@
     return wrap_request(request)
 
 
-def is_get_with_body(upstream_request: UpstreamRequest) -> bool:
-    """Return whether this is a GET with a body.
+def has_unusual_body(upstream_request: UpstreamRequest) -> bool:
+    """Return whether this is a GET or HEAD with a body.
 
-    HTTP allows it but tornado rejects it, so it is set up as a POST with a
-    custom method.
+    HTTP allows it, but tornado rejects such a GET and would send such a HEAD
+    as a PUT, so it is set up as a POST with a custom method.
     """
-    return upstream_request.method == 'GET' and bool(upstream_request.body)
+    return upstream_request.method in ('GET', 'HEAD') and bool(
+        upstream_request.body
+    )
 
 
 def request_body(upstream_request: UpstreamRequest) -> bytes | None:
@@ -422,7 +428,7 @@
         pycurl.FRESH_CONNECT, 1 if upstream_request.new_connection else 0
     )
     curl.setopt(pycurl.FORBID_REUSE, 1 if upstream_request.close_after else 0)
-    if is_get_with_body(upstream_request):
+    if has_unusual_body(upstream_request):
         curl.setopt(pycurl.CUSTOMREQUEST, upstream_request.method)
     # libcurl would change percent-encodings of the URL's path.
     curl.setopt(pycurl.REQUEST_TARGET, upstream_request.target)
--- a/libs/citronshelf_entry/tests/test_upstream.py
+++ b/libs/citronshelf_entry/tests/test_upstream.py
@@ -379,6 +379,39 @@
         assert (result[0].status, result[1]) == (status, body)
         assert len(server.heads) == 1
 
+    # Guards against a HEAD that the server runs as a PUT.
+    @pytest.mark.parametrize('new_connection', [False, True])
+    @pytest.mark.parametrize(
+        'data, length',
+        [
+            (HEAD + b'Content-Length: 7\r\n\r\n', '7'),
+            (b'HTTP/1.1 103 Early\r\n\r\n' + HEAD + b'\r\n', ''),
+        ],
+    )
+    def test_head_with_a_body_stays_head(
+        self,
+        raw_server,
+        scripts,
+        upstream_request,
+        new_connection,
+        data,
+        length,
+    ):
+        result, server = exchange_with(
+            raw_server,
+            scripts(data),
+            upstream_request,
+            method='HEAD',
+            body=b'abc',
+            new_connection=new_connection,
+            close_after=new_connection,
+        )
+        assert [head.split()[0] for head in server.heads] == [b'HEAD']
+        assert b'Content-Length: 3\r\n' in server.heads[0]
+        head, body = result
+        received = dict(head.headers).get('Content-Length', '')
+        assert (head.status, received, body) == (200, length, b'')
+
     def test_full_client_sends_nothing(
         self, raw_server, scripts, upstream_request
     ):
