instance: notice that a caller leaves while later bytes are unread

Cause: tornado listens for a close only while its read buffer is empty.

Change: while the responses of a connection are awaited, the state of its socket is read from the kernel every 0.2 s. A caller that closes its sending side counts as gone, as it does when no bytes are unread.

--- a/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
+++ b/libs/citronshelf_instance/citronshelf_instance/caller_connection.py
@@ -35,6 +35,13 @@
 # kernel sends to it for a quarter of an hour. Not below the time that callers
 # without a deadline wait for their responses.
 ACKNOWLEDGE_TIMEOUT_S = 30.0
+# While a caller waits, tornado reads nothing from its connection once bytes of
+# a later request are buffered, and so does not see that the caller closes it.
+# The connection is then checked at this interval.
+CLOSE_CHECK_INTERVAL_S = 0.2
+# States of TCP in which the other end sends nothing more, by tcp(7).
+TCP_CLOSE = 7
+TCP_CLOSE_WAIT = 8
 # A head is read up to this multiple of the limit on its headers, so that it is
 # refused with a response; a longer one closes the connection without any.
 MAX_READ_HEAD_FACTOR = 4
@@ -166,8 +173,8 @@
         """Serve requests until either side closes the connection.
 
         While nothing is read, for example behind a request that must run
-        alone, only the close callback of the stream shows that the caller has
-        disconnected.
+        alone, the close callback of the stream shows that the caller has
+        disconnected; see ``wait_for_responses``.
         """
         gone = asyncio.Event()
         self.stream.set_close_callback(gone.set)
@@ -291,7 +298,7 @@
         """Refuse the last request; wait until its response is written."""
         held.release()
         self.refuse(refusal)
-        await self.pending.join()
+        await self.wait_for_responses()
 
     def log_incomplete_request(self, fault: Exception) -> None:
         """Log a read error, unless the connection was idle."""
@@ -304,10 +311,18 @@
             )
 
     async def wait_for_responses(self) -> None:
-        """Wait until the responses of all earlier requests are written."""
+        """Wait until the responses of all earlier requests are written.
+
+        Closes the stream if the caller disconnects meanwhile.
+        """
         while self.outstanding:
             self.response_written.clear()
-            await self.response_written.wait()
+            try:
+                async with asyncio.timeout(CLOSE_CHECK_INTERVAL_S):
+                    await self.response_written.wait()
+            except TimeoutError:
+                if has_disconnected(self.stream):
+                    self.stream.close()
 
     def start(self, request: caller_request.CallerRequest) -> asyncio.Task:
         """Start handling a request in a task of its own; return the task."""
@@ -525,6 +540,17 @@
         return self.server.application.limits() or DEFAULT_LIMITS
 
 
+def has_disconnected(stream: iostream.IOStream) -> bool:
+    """Return whether the other end has closed an open connection.
+
+    The kernel knows that before the bytes that arrived earlier are read.
+    """
+    if stream.closed():
+        return False
+    state = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    return state[0] in (TCP_CLOSE, TCP_CLOSE_WAIT)
+
+
 def limit_unacknowledged(stream: iostream.IOStream) -> None:
     """End the connection if the caller takes no sent byte for a while."""
     # Fails if the caller has disconnected, which the first read shows.
--- a/libs/citronshelf_instance/tests/test_caller_connection.py
+++ b/libs/citronshelf_instance/tests/test_caller_connection.py
@@ -210,6 +210,38 @@
 
         assert asyncio.run(run()) == (['/1'], ['/1'])
 
+    # Guards against the same behind the last request of a connection.
+    @pytest.mark.parametrize('behind', [b'', b'x' * 100])
+    def test_bytes_behind_the_last_request_hide_nothing(self, behind):
+        async def run():
+            async with ScriptedApplication({'/1': 5}) as application:
+                _, writer = await application.connect()
+                extra = 'Connection: close\r\n'
+                writer.write(request_bytes('/1', extra=extra) + behind)
+                await asyncio.sleep(0.1)
+                writer.close()
+                await asyncio.sleep(1.0)
+                # The end of the event loop cancels what still runs.
+                return list(application.cancelled)
+
+        assert asyncio.run(run()) == ['/1']
+
+    # Guards against callers that are taken for gone while they wait.
+    def test_waiting_caller_with_unread_bytes_is_served(self):
+        async def run():
+            limits = configuration.CallerLimits()
+            async with ScriptedApplication({'/1': 0.7}, limits) as application:
+                reader, writer = await application.connect()
+                writer.write(request_bytes('/1'))
+                writer.write(request_bytes('/2', 'POST', b'x'))
+                await asyncio.sleep(0.1)
+                writer.write(request_bytes('/3', 'POST', b'y'))
+                bodies = [(await read_response(reader))[1] for _ in range(3)]
+                writer.close()
+                return bodies
+
+        assert asyncio.run(run()) == [b'/1', b'/2x', b'/3y']
+
     def test_request_with_incomplete_body_is_not_run(self):
         async def run():
             async with ScriptedApplication() as application:
