instance: tell a lost connection from an outage; keep announcements

Cause: the age of the list when a watch failed counted as time in which the store was away. A removed entry took what its server had asked for with it.

Change: a call that fails before its wait is over shows that the store was there until then. Announcements are kept for 600 s, for at most 1024 servers.

--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -31,6 +31,10 @@
 # Servers that are leaving are replaced by others; their registrations are
 # known after about this time.
 REPLACEMENT_S = 1.0
+# Announcements of servers without an entry are kept this long, in case that
+# the entry returns, and for at most this many servers.
+DEPARTED_KEPT_S = 600.0
+MAX_DEPARTED = 1024
 # Failure probability from which a server is logged as suspected.
 SUSPECTED_PROBABILITY = 0.5
 
@@ -43,6 +47,23 @@
     address: tuple
 
 
+class Announcement(NamedTuple):
+    """What a server without an entry had asked for.
+
+    Attributes
+    ----------
+    leaving : bool
+    retry_at_s : float
+        Monotonic time before which it wants no request.
+    removed_s : float
+        Monotonic time at which its entry was removed.
+    """
+
+    leaving: bool
+    retry_at_s: float
+    removed_s: float
+
+
 class RegisteredServer:
     """State of one registered server at this instance.
 
@@ -153,6 +174,10 @@
     confirmed_s : float or None
         Time at which the store last showed, to this instance or to a reader
         that reported it, that the list was the newest; None if it never did.
+    connected_s : float
+        Time up to which a call to the store was waiting as it should.
+    departed : dict
+        Announcements of removed servers, oldest first.
     """
 
     def __init__(self, *, clock):
@@ -160,6 +185,8 @@
         self.revision = 0
         self.revised_s = 0.0
         self.confirmed_s: float | None = None
+        self.connected_s = float('-inf')
+        self.departed: dict[ServerKey, Announcement] = {}
         self.servers: dict[str, RegisteredServer] = {}
         self.by_service: dict[str, list[RegisteredServer]] = {}
         self.store_recovered_s = float('-inf')
@@ -181,10 +208,22 @@
         """Return whether entries may have lapsed since the last confirmation.
 
         A store that was away for this instance alone has confirmed the list
-        to others, which reported it.
+        to others, which reported it. One whose connection has just failed was
+        not away before.
         """
         age_s = self.age_s()
-        return age_s is None or age_s >= MIN_LAPSE_AGE_S
+        if age_s is None:
+            return True
+        away_s = self.clock() - self.connected_s
+        return min(age_s, away_s) >= MIN_LAPSE_AGE_S
+
+    def record_connected(self) -> None:
+        """Record that a call to the store was waiting until now.
+
+        The call failed before its wait was over, which shows no outage before
+        that: the store may have restarted, or the connection was lost.
+        """
+        self.connected_s = self.clock()
 
     def recovered_ago_s(self) -> float | None:
         """Return the seconds since the end of an outage of the store.
@@ -262,6 +301,9 @@
         known = self.servers.get(registration.server_id)
         new_state = RegisteredServer(registration=registration, now=now)
         if known is None or known.key() != new_state.key():
+            if known is not None:
+                self.remember(known)
+            self.restore(new_state)
             self.servers[registration.server_id] = new_state
             self.log(events.SERVER_REGISTERED, new_state)
             return
@@ -285,9 +327,35 @@
         if now < until and not state.registration.draining:
             state.lapsed_until_s = state.lapsed_until_s or until
             return
-        del self.servers[server_id]
+        self.delete(state)
+
+    def delete(self, state: RegisteredServer) -> None:
+        """Delete a server; keep what it asked for in case it returns."""
+        del self.servers[state.server_id]
+        self.remember(state)
         self.log(events.SERVER_REMOVED, state)
 
+    def remember(self, state: RegisteredServer) -> None:
+        """Keep the announcements of a server whose entry is gone."""
+        now = self.clock()
+        if not state.leaving and state.retry_at_s <= now:
+            return
+        self.departed.pop(state.key(), None)
+        self.departed[state.key()] = Announcement(
+            state.leaving, state.retry_at_s, now
+        )
+        while len(self.departed) > MAX_DEPARTED:
+            del self.departed[next(iter(self.departed))]
+
+    def restore(self, state: RegisteredServer) -> None:
+        """Apply the announcements of this incarnation of a server, if any."""
+        kept = self.departed.pop(state.key(), None)
+        if kept is None:
+            return
+        if self.clock() - kept.removed_s < DEPARTED_KEPT_S:
+            state.leaving = kept.leaving
+            state.retry_at_s = kept.retry_at_s
+
     def drop_lapsed(self) -> None:
         """Remove servers whose entries did not return in the grace period."""
         now = self.clock()
@@ -297,8 +365,7 @@
             if state.lapsed_until_s is not None and now >= state.lapsed_until_s
         ]
         for state in gone:
-            del self.servers[state.server_id]
-            self.log(events.SERVER_REMOVED, state)
+            self.delete(state)
         if gone:
             self.index()
 
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -250,6 +250,8 @@
         if changed is None:
             return
         if changed.is_error():
+            if self.clock() - began_s < wait_s:
+                self.state.directory.record_connected()
             await self.handle_fault(changed.error)
             return
         self.record_response()
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -356,6 +356,46 @@
         assert reader.state.directory.servers == {}
 
 
+class CutStore(ScriptedStore):
+    """Store whose first watch fails ``after_s`` seconds after its begin."""
+
+    def __init__(self, reads, watches, *, clock, after_s):
+        super().__init__(reads, watches)
+        self.clock = clock
+        self.after_s = after_s
+
+    async def watch(self, after, wait_s):
+        if not self.watched:
+            self.clock.advance(self.after_s)
+        return await super().watch(after, wait_s)
+
+
+class TestCutWatch:
+    """A connection that fails during a wait shows no earlier outage.
+
+    Guards against a server that is used for two seconds after it left.
+    """
+
+    @pytest.mark.parametrize(
+        'after_s, servers',
+        [(registrations.MIN_LAPSE_AGE_S, []), (30.0, ['s1'])],
+    )
+    def test_removed_server_is_dropped_at_once(
+        self, clock, monkeypatch, after_s, servers
+    ):
+        monkeypatch.setattr(store_reader, 'MIN_WATCH_WAIT_S', 20.0)
+        removal = configuration.Changes(5, None, {'s1': None})
+        store = CutStore(
+            [snapshot(3, make_registration('s1'))],
+            [Error(UNREACHABLE), Ok(removal)],
+            clock=clock,
+            after_s=after_s,
+        )
+        reader, _ = read_with(store, clock)
+        assert store.waits[1] == 0.0
+        assert list(reader.state.directory.servers) == servers
+
+
 class TestReports:
     """Changes are passed on for instances that do not read the store."""
 
