instance: close connections to former relays

Cause: nothing closed connections to relays and readers that were chosen while few members were known.

Change: an instance that is no reader closes them ten seconds after they were last chosen, except those to seeds.

--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -57,6 +57,9 @@
 # Interval between attempts to send the first ``Join`` while no connection to a
 # seed is established.
 JOIN_RETRY_INTERVAL_S = 0.1
+# A connection is closed this long after its instance was last a contact, so
+# that a short change of the known members closes none.
+FORMER_CONTACT_S = 10.0
 
 
 class InformedPeer(NamedTuple):
@@ -122,6 +125,8 @@
             maxlen=MAX_INFORMED_PEERS
         )
         self.next_copy_s = float('-inf')
+        # Time at which each instance was last chosen as a contact.
+        self.chosen_s: dict[fleet.Address, float] = {}
         self.lists_to_request = LIST_PEERS
         self.on_peer_revision = lambda revision: None
         self.is_store_current = lambda: False
@@ -164,11 +169,29 @@
         for peer in contacts + self.zones.remote_contacts():
             # Messages are dropped until a connection is established.
             self.links.connect(peer.member.address)
+        self.close_former(contacts + self.zones.remote_contacts())
         addresses = [
             peer.member.address for peer in contacts if not peer.direct
         ]
         return any([self.send_greeting(address) for address in addresses])
 
+    def close_former(self, contacts: list[membership.KnownMember]) -> None:
+        """Close connections to instances that are no longer contacts.
+
+        Others are chosen while few members are known. A reader keeps its
+        connections, since it reports to the whole region, and so does every
+        instance to the seeds.
+        """
+        now = self.clock()
+        self.chosen_s.update({peer.member.address: now for peer in contacts})
+        if self.readers.is_reader():
+            return
+        for address, chosen_s in list(self.chosen_s.items()):
+            if now - chosen_s >= FORMER_CONTACT_S:
+                del self.chosen_s[address]
+                if address not in self.seeds:
+                    self.links.disconnect(address)
+
     def send_greeting(self, address: fleet.Address) -> bool:
         """Introduce this instance; request the members if it needs them."""
         if self.lists_to_request == 0:
