--- a/libs/citronshelf_instance/citronshelf_instance/quota_exchange.py
+++ b/libs/citronshelf_instance/citronshelf_instance/quota_exchange.py
@@ -132,7 +132,10 @@
         """Use other settings; tokens granted before are dropped."""
         if settings != self.settings:
             self.settings = settings
+            last_session = self.ledger.last_session
             self.make_books()
+            # Coordinators ignore reports of a lower session.
+            self.ledger.last_session = last_session
 
     def fleet(self) -> quota.Fleet:
         """Return what is known of the size of the fleet."""
--- a/libs/citronshelf_instance/tests/test_quota_exchange.py
+++ b/libs/citronshelf_instance/tests/test_quota_exchange.py
@@ -265,6 +265,33 @@
         assert any(isinstance(one, quota.Refused) for one in decisions)
 
 
+class TestSettings:
+    """Settings of quotas change without a restart."""
+
+    # Guards against coordinators that ignore an instance for seconds, since
+    # the numbers of its sessions begin again.
+    def test_changed_settings_are_in_force_at_once(self):
+        async def scenario(instances):
+            for one in instances:
+                one.quotas.set_settings(SETTINGS._replace(slack=10.0))
+            await asyncio.sleep(1.5)
+            return [await timed(one) for one in instances]
+
+        for decision, _ in run(scenario):
+            assert isinstance(decision, quota.Token)
+
+    def test_removed_settings_end_all_quotas(self):
+        async def scenario(instances):
+            for one in instances:
+                one.quotas.set_settings(None)
+            await asyncio.sleep(0.5)
+            before = sum(one.sent for one in instances)
+            decisions = await admit_many(instances, 200.0, 2.0)
+            return set(decisions), sum(one.sent for one in instances) - before
+
+        assert run(scenario) == ({None}, 0)
+
+
 class TestMessages:
     """Odd messages of other instances do no harm."""
 
