--- a/libs/citronshelf_instance/tests/test_quota_exchange.py
+++ b/libs/citronshelf_instance/tests/test_quota_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 
 import pytest
 
@@ -10,10 +11,13 @@
 from citronshelf_instance import membership
 from citronshelf_instance import metrics
 from citronshelf_instance import peer_messages
+from citronshelf_instance import peers
 from citronshelf_instance import published
 from citronshelf_instance import quota
 from citronshelf_instance import quota_exchange
+from citronshelf_instance import reader_group
 from citronshelf_instance import registrations
+from citronshelf_peering import links
 from instance_builders import make_configuration
 import virtual_fleet
 
@@ -318,3 +322,99 @@
             return (sum(one.sent for one in instances) - before) / 300
 
         assert run(scenario, count=30) <= 2 * 2 * 3.0
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return fleet.Address('127.0.0.1', probe.getsockname()[1])
+
+
+class Process:
+    """One instance with its peers, on real sockets."""
+
+    def __init__(self, number, address, seeds):
+        clock = asyncio.get_running_loop().time
+        rng = random.Random(number)
+        own = peer_messages.Member(
+            f'i{number}', 'n', address, fleet.Location('r', 'z'), 0.0
+        )
+        state = published.PublishedState(
+            directory=registrations.Directory(clock=clock),
+            clock=clock,
+            rng=rng,
+        )
+        state.apply_configuration(
+            make_configuration(revision=5, accounts=ACCOUNTS), 'test'
+        )
+        members = membership.Membership(own=own, clock=clock, rng=rng)
+        self.links = links.ZmqLinks(address=address, keys=None)
+        self.peers = peers.Peers(
+            own=own,
+            seeds=seeds,
+            links=self.links,
+            state=state,
+            members=members,
+            readers=reader_group.ReaderGroup(
+                members=members, list_age_s=state.age_s
+            ),
+            clock=clock,
+            rng=rng,
+        )
+        self.quotas = quota_exchange.QuotaExchange(
+            own=own,
+            settings=SETTINGS,
+            state=state,
+            members=members,
+            links=self.peers,
+            metrics=metrics.InstanceMetrics(),
+            rng=rng,
+        )
+        self.peers.on_quota_report = self.quotas.receive_report
+        self.peers.on_quota_reply = self.quotas.receive_reply
+
+    def start(self):
+        return [
+            asyncio.create_task(part.run())
+            for part in (self.links, self.peers, self.quotas)
+        ]
+
+    def close(self):
+        self.quotas.close()
+        self.peers.close()
+        self.links.close()
+
+
+class TestSockets:
+    """Instances exchange tokens through ``Peers`` and ``ZmqLinks``."""
+
+    def test_every_instance_admits(self):
+        async def scenario():
+            addresses = [free_address() for _ in range(3)]
+            processes = [
+                Process(number, address, addresses[:1])
+                for number, address in enumerate(addresses)
+            ]
+            tasks = [task for one in processes for task in one.start()]
+            admitted = [False] * len(processes)
+            async with asyncio.timeout(20.0):
+                while not all(admitted):
+                    await asyncio.sleep(0.2)
+                    for number, one in enumerate(processes):
+                        token = await one.quotas.admit('limited')
+                        admitted[number] |= (
+                            isinstance(token, quota.Token)
+                            and token.tally is not None
+                        )
+            heard = [
+                len(one.quotas.ledger.active(one.quotas.clock()))
+                for one in processes
+            ]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for one in processes:
+                one.close()
+            return heard
+
+        assert asyncio.run(scenario()) == [2, 2, 2]
