--- a/libs/citronshelf_instance/tests/test_retry_budget.py
+++ b/libs/citronshelf_instance/tests/test_retry_budget.py
@@ -2,6 +2,7 @@
 
 import random
 
+import hypothesis
 from hypothesis import given
 from hypothesis import strategies as st
 import pytest
@@ -106,6 +107,7 @@
             budgets.get('ledger').record_request()
             assert budgets.get('ledger').try_spend() == spent
 
+    @hypothesis.settings(deadline=None, derandomize=True)
     @given(EVENTS)
     def test_sum_over_instances_keeps_the_fleets_budget(self, events):
         model = budget_model.FleetModel(5, slack=4.0)
@@ -162,6 +164,7 @@
         assert model.repeat_times_s
         assert model.largest_excess() <= 0
 
+    @hypothesis.settings(deadline=None, derandomize=True)
     @given(st.integers(0, 2**32))
     def test_sum_holds_for_restarts_and_any_views(self, seed):
         model = budget_model.FleetModel(6, seed=seed, slack=15.0)
@@ -234,6 +237,7 @@
     # Guards against a restarted process that spends the slack again. Each of
     # the six instances may keep 1.5 credits; 6 more are for the part of a
     # credit with which each of the restarted processes begins.
+    @hypothesis.settings(deadline=None, derandomize=True)
     @given(st.integers(0, 2**32))
     def test_sum_holds_for_restarts_and_any_views(self, seed):
         model = budget_model.FleetModel(
