instance: admission by priority under overload; placement by waits and bodies

With the settings table [admission], requests that would end after their time are refused at once, and while queues make a class or more urgent ones miss their target, a share of the less urgent requests.

Placement counts a wait in full for short requests, spreads large bodies by the bytes in progress at each server and keeps them in the region.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -15,6 +15,7 @@
 from citronshelf_common import settings as common_settings
 from citronshelf_entry import response_memory
 from citronshelf_entry import upstream
+from citronshelf_instance import admission
 from citronshelf_instance import caller_connection
 from citronshelf_instance import caller_request
 from citronshelf_instance import dispatch
@@ -32,6 +33,7 @@
 from citronshelf_instance import request_handler
 from citronshelf_instance import retry_budget
 from citronshelf_instance import retry_loans
+from citronshelf_instance import service_load
 from citronshelf_instance import settings
 from citronshelf_instance import shutdown
 from citronshelf_instance import store_reader
@@ -142,12 +144,27 @@
         self.peers.lend_credit = self.loans.lend
         self.peers.on_credit_reply = self.loans.receive
         self.forwarder = self.make_forwarder(clock)
+        self.loads = service_load.ServiceLoads(
+            directory=self.directory,
+            clock=clock,
+            is_in_region=self.forwarder.placer.is_in_region,
+        )
+        self.admission = admission.Admission(
+            loads=self.loads,
+            placer=self.forwarder.placer,
+            settings=make_admission_settings(table),
+            weight_of=self.account_weight,
+            metrics=self.metrics,
+            clock=clock,
+            rng=self.rng,
+        )
         self.handler = request_handler.RequestHandler(
             state=self.state,
             reader=self.reader,
             forwarder=self.forwarder,
             metrics=self.metrics,
             clock=clock,
+            admission_control=self.admission,
         )
         self.server = self.make_server()
         self.loop_delay = loop_delay.LoopDelay(clock=clock)
@@ -181,6 +198,17 @@
             max_resends=max_resends(self.table),
         )
 
+    def account_weight(self, name: str) -> float:
+        """Return the permitted rate of an account, 1 if it has no limit."""
+        published_configuration = self.state.configuration
+        accounts = (
+            published_configuration.accounts if published_configuration else ()
+        )
+        for account in accounts:
+            if account.name == name:
+                return account.rate_per_s or 1.0
+        return 1.0
+
     def record_dropped_response(
         self, holder: response_memory.Holder, held_bytes: int
     ) -> None:
@@ -279,6 +307,17 @@
             'Requests in progress',
             lambda: len(self.server.tasks),
         )
+        add(
+            'queue_seconds',
+            'Longest estimated wait in the queues of a service; 0 without'
+            ' admission control',
+            self.loads.longest_wait_s,
+        )
+        add(
+            'services_overloaded',
+            'Services of which admission control refuses requests',
+            self.admission.count_overloaded,
+        )
         add(
             'caller_connections',
             'Open connections of callers',
@@ -387,6 +426,7 @@
         seeds = self.table['peers']['seeds']
         self.peers.set_seeds([parse_address(text) for text in seeds])
         self.budgets.set_settings(make_budget_settings(self.table))
+        self.admission.settings = make_admission_settings(self.table)
         self.forwarder.max_resends = max_resends(self.table)
         self.forwarder.placer.distances = make_distance_costs(self.table)
 
@@ -425,6 +465,15 @@
     )
 
 
+def make_admission_settings(
+    table: settings.Settings,
+) -> admission.AdmissionSettings | None:
+    """Return the settings of admission control, None without its table."""
+    if 'admission' not in table:
+        return None
+    return admission.AdmissionSettings(table['admission']['min_share'])
+
+
 def max_resends(table: settings.Settings) -> int:
     """Return how often a request may go to a server that shed it before.
 
--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -127,6 +127,7 @@
         the exchange. Both results and cancellations are logged.
         """
         self.server.running += 1
+        self.server.body_bytes += len(self.request.body)
         self.exchange = self.forwarder.client.start(self.build_request())
         result: Result | None = None
         try:
@@ -135,6 +136,7 @@
             return result
         finally:
             self.server.running -= 1
+            self.server.body_bytes -= len(self.request.body)
             self.exchange.cancel()
             self.log(result)
 
--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -143,3 +143,33 @@
 LOOP_DELAYED = Event(
     1943, 'loop-delayed', logging.WARNING, 'event loop ran late'
 )
+REQUEST_NOT_ADMITTED = Event(
+    1960,
+    'request-not-admitted',
+    logging.INFO,
+    'request refused: its service is overloaded',
+)
+REQUEST_TOO_LATE = Event(
+    1961,
+    'request-too-late',
+    logging.INFO,
+    'request refused: it would end after its time',
+)
+SERVICE_OVERLOADED = Event(
+    1962,
+    'service-overloaded',
+    logging.WARNING,
+    'queues of a service are too long; refusing a share of its requests',
+)
+SERVICE_CALM = Event(
+    1963,
+    'service-calm',
+    logging.INFO,
+    'queues of a service are short again; refusing nothing',
+)
+ACCOUNT_OVER_SHARE = Event(
+    1964,
+    'account-over-share',
+    logging.INFO,
+    'account sends more than its share; refusing more of its requests',
+)
--- a/libs/citronshelf_instance/citronshelf_instance/metrics.py
+++ b/libs/citronshelf_instance/citronshelf_instance/metrics.py
@@ -12,6 +12,7 @@
     'announcements': 'Announcements of servers in responses, by kind',
     'hedges': 'Second dispatches of requests whose answer is overdue',
     'responses_dropped': 'Responses ended because their memory was full',
+    'admission_refusals': 'Requests refused by admission control, by reason',
     'repeats': 'Repeats that the retry budget paid for',
     'repeats_denied': 'Repeats that the retry budget did not allow',
 }
--- a/libs/citronshelf_instance/citronshelf_instance/placement.py
+++ b/libs/citronshelf_instance/citronshelf_instance/placement.py
@@ -35,6 +35,17 @@
 # close to the time at a server without a queue.
 SHORT_TIME_WEIGHT = 0.1
 LONG_TIME_WEIGHT = 0.02
+# Weight of a longer time relative to that while the service is overloaded:
+# then it is longer because of a queue.
+QUEUED_WEIGHT = 0.1
+# Weight of the newest request in the mean usual time of a service.
+SERVICE_TIME_WEIGHT = 0.05
+# A body of this size or more is spread by the bytes that are in progress at
+# each server. Assumed speeds of sending: that of a small instance, and the
+# share of one instance in a link between regions that several use.
+LARGE_BODY_BYTES = 32 * 1024
+SEND_BYTES_PER_S = 1.25e6
+REGION_BYTES_PER_S = 1e6
 INITIAL_RESPONSE_BYTES = 4096.0
 RESPONSE_BYTES_WEIGHT = 0.1
 
@@ -66,11 +77,14 @@
         Time at a healthy server without a queue.
     response_bytes : float
         Moving average of the size of response bodies.
+    is_queued : bool
+        Admission control refuses requests to the service.
     """
 
     def __init__(self, *, seconds: float):
         self.seconds = seconds
         self.response_bytes = INITIAL_RESPONSE_BYTES
+        self.is_queued = False
 
     def record(self, seconds: float, response_bytes: int) -> None:
         """Record one good response.
@@ -80,6 +94,8 @@
         """
         change = min(seconds, 3 * self.seconds) - self.seconds
         weight = LONG_TIME_WEIGHT if change > 0 else SHORT_TIME_WEIGHT
+        if change > 0 and self.is_queued:
+            weight *= QUEUED_WEIGHT
         self.seconds += weight * change
         self.response_bytes += RESPONSE_BYTES_WEIGHT * (
             response_bytes - self.response_bytes
@@ -111,6 +127,8 @@
 
     Attributes
     ----------
+    service_times_s : dict of str to float
+        Mean usual time of the requests of this instance to each service.
     longest_list_age_s : float
         Longest age of the list of servers at a choice since the value was
         last taken.
@@ -133,6 +151,7 @@
         self.clock = clock
         self.rng = rng
         self.usage: dict[str, RouteUsage] = {}
+        self.service_times_s: dict[str, float] = {}
         self.longest_list_age_s = 0.0
 
     def usage_of(self, route: configuration.Route) -> RouteUsage:
@@ -161,6 +180,7 @@
             Ids of servers that this request must not use again.
         """
         now = self.clock()
+        self.record_time(service, self.usage_of(route).seconds)
         servers = [
             server
             for server in self.directory.usable(service)
@@ -179,6 +199,12 @@
         )
         return chosen.server if chosen else None
 
+    def record_time(self, service: str, usual_s: float) -> None:
+        """Add the usual time of a request to the mean of its service."""
+        mean_s = self.service_times_s.get(service, usual_s)
+        mean_s += SERVICE_TIME_WEIGHT * (usual_s - mean_s)
+        self.service_times_s[service] = mean_s
+
     def find_server_to_test(
         self, candidates: list[Candidate], service: str, now: float
     ) -> Candidate | None:
@@ -233,11 +259,33 @@
         if now < server.warm_up_end_s:
             slowness = max(slowness, WARM_UP_SLOWNESS)
         load = server.running / max(1, server.registration.slots)
-        seconds = latency_s + usage.seconds * slowness * (1 + load)
+        # A short request waits as long in a queue as others do.
+        service = server.registration.service
+        queued_s = max(usage.seconds, self.service_times_s.get(service, 0.0))
+        wait_s = (slowness - 1) * queued_s
+        seconds = (
+            latency_s
+            + usage.seconds
+            + wait_s
+            + usage.seconds * slowness * load
+            + self.sending_time_s(server, body_bytes)
+        )
         late_loss = LATE_LOSS * min(2.0, seconds / route.target_latency_s) ** 2
         loss = weight * failure_share + distance_loss + late_loss
         return Candidate(server, loss, failure_share)
 
+    def sending_time_s(self, server, body_bytes: int) -> float:
+        """Return the assumed time to send a large body, in seconds.
+
+        It is shared with the other bodies of this instance in progress there.
+        """
+        if body_bytes < LARGE_BODY_BYTES:
+            return 0.0
+        seconds = (server.body_bytes + body_bytes) / SEND_BYTES_PER_S
+        if not self.is_in_region(server):
+            seconds += body_bytes / REGION_BYTES_PER_S
+        return seconds
+
     def distance(self, server, kilobytes: float) -> tuple[float, float]:
         """Return the loss and the latency in seconds due to the distance.
 
--- a/libs/citronshelf_instance/citronshelf_instance/registrations.py
+++ b/libs/citronshelf_instance/citronshelf_instance/registrations.py
@@ -52,6 +52,8 @@
     estimate : HealthEstimate
     running : int
         Requests of this instance that are in progress there.
+    body_bytes : int
+        Size of their bodies.
     warm_up_end_s : float
         Monotonic time at which its warm-up ends.
     backoff_until_s : float
@@ -81,6 +83,7 @@
         self.registration: configuration.Registration = registration
         self.estimate = evidence.HealthEstimate(now=now)
         self.running = 0
+        self.body_bytes = 0
         self.warm_up_end_s = now + registration.warm_up_s
         self.backoff_until_s = 0.0
         self.backoff_s = INITIAL_BACKOFF_S
--- a/libs/citronshelf_instance/citronshelf_instance/request_handler.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_handler.py
@@ -6,6 +6,7 @@
 
 from citronshelf_common import events as log_events
 from citronshelf_entry import request_head
+from citronshelf_instance import admission
 from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
@@ -34,6 +35,8 @@
     metrics : InstanceMetrics
     clock : callable
         Monotonic seconds.
+    admission_control : Admission or None
+        All requests are admitted if None.
     """
 
     def __init__(
@@ -44,7 +47,9 @@
         forwarder: forwarding.Forwarder,
         metrics: metrics.InstanceMetrics,
         clock,
+        admission_control: admission.Admission | None = None,
     ):
+        self.admission_control = admission_control
         self.state = state
         self.reader = reader
         self.forwarder = forwarder
@@ -102,6 +107,10 @@
             return self.refuse(request, self.refusal_without_route()), ''
         routed = self.state.routes.assign(route)
         caller = caller_identity.ANONYMOUS
+        if self.admission_control is not None:
+            refusal = self.admission_control.check(request, routed, caller)
+            if refusal is not None:
+                return self.refuse(request, refusal), route.name
         outcome = await self.forwarder.run(request, routed, caller)
         response = caller_response.from_outcome(
             outcome, head, self.forwarder.names
--- a/libs/citronshelf_instance/citronshelf_instance/settings.py
+++ b/libs/citronshelf_instance/citronshelf_instance/settings.py
@@ -72,9 +72,11 @@
 
 
 class AdmissionTable(TypedDict):
-    """Admission control by rank while a service is overloaded.
+    """Admission control by priority while a service is overloaded.
 
-    At least ``min_share`` of the requests of each rank is admitted.
+    At least ``min_share`` of the requests of each priority and of each account
+    is admitted, except those that would end after their time. Without the
+    table, nothing is refused for the load of a service.
     """
 
     min_share: Share
--- a/libs/citronshelf_instance/tests/test_placement.py
+++ b/libs/citronshelf_instance/tests/test_placement.py
@@ -3,16 +3,17 @@
 import collections
 
 from citronshelf_instance import evidence
+from citronshelf_instance import placement
 from instance_builders import make_directory
 from instance_builders import make_placer
 from instance_builders import make_registration
 from instance_builders import make_route
 
 
-def count_choices(placer, count=200, tried=(), **route):
+def count_choices(placer, count=200, tried=(), body_bytes=0, **route):
     made = make_route(**route)
     return collections.Counter(
-        placer.choose(made, 'ledger', 'r1', 0, tried).server_id
+        placer.choose(made, 'ledger', 'r1', body_bytes, tried).server_id
         for _ in range(count)
     )
 
@@ -98,6 +99,50 @@
         assert count_choices(make_placer(directory, clock), 10) == {'bad': 10}
 
 
+class TestQueues:
+    """Requests avoid long queues by the time that they would wait there."""
+
+    # Load: short requests beside long ones. Guards against a wait that counts
+    # as short because the request itself is.
+    def test_short_request_avoids_the_queue_of_long_ones(self, clock):
+        entries = [make_registration('idle'), make_registration('queue')]
+        directory = make_directory(clock, *entries)
+        directory.servers['queue'].estimate.slowness = 2.0
+        placer = make_placer(directory, clock)
+        short = {'name': 'short', 'target_latency_s': 0.6}
+        placer.usage_of(make_route(**short)).seconds = 0.05
+        before = count_choices(placer, **short)['queue']
+        # Most requests of this instance to the service are long ones.
+        placer.service_times_s['ledger'] = 0.6
+        placer.record_time = lambda service, usual_s: None
+        assert count_choices(placer, **short)['queue'] < before / 2
+
+
+class TestLargeBodies:
+    """Load: uploads of up to 360 KB."""
+
+    def test_they_are_spread_by_the_bytes_in_progress(self, clock):
+        entries = [make_registration('free'), make_registration('busy')]
+        directory = make_directory(clock, *entries)
+        directory.servers['busy'].body_bytes = 720 * 1024
+        placer = make_placer(directory, clock)
+        choices = count_choices(placer, body_bytes=100 * 1024)
+        assert choices['free'] > 3 * choices['busy']
+        # Small requests do not wait for the bodies of others.
+        assert count_choices(placer)['busy'] > 60
+
+    def test_they_stay_in_the_region_even_if_distance_is_free(self, clock):
+        entries = [
+            make_registration('near'),
+            make_registration('far', zone='matigara'),
+        ]
+        placer = make_placer(make_directory(clock, *entries), clock)
+        placer.distances = placement.DistanceCosts(0.0, 0.0, 0.04)
+        small = count_choices(placer)['far']
+        large = count_choices(placer, body_bytes=360 * 1024)['far']
+        assert large < small / 4
+
+
 class TestExclusion:
     """Tried servers are excluded, those in backoff while others are left."""
 
