--- a/libs/citronshelf_instance/tests/test_request_handler.py
+++ b/libs/citronshelf_instance/tests/test_request_handler.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import time
+from types import SimpleNamespace
 
 import pytest
 
@@ -139,6 +140,26 @@
         assert handle(make_handler(ValueError('x'))).status == 502
 
 
+class TestAdmission:
+    """Load: an overloaded service; its requests are refused before a server.
+
+    Guards against a refused request that is forwarded all the same.
+    """
+
+    def test_refusal_has_its_time_and_is_not_forwarded(self):
+        handler = make_handler(ValueError('forwarded'))
+        refusal = request_head.RequestRefusal(
+            503, 'overloaded', retry_after_s=2.0
+        )
+        handler.admission_control = SimpleNamespace(
+            check=lambda request, routed, caller: refusal
+        )
+        response = handle(handler)
+        assert response.status == 503
+        retry_after = headers.first_of(response.headers, 'retry-after')
+        assert 2.0 <= float(retry_after) <= 2.4
+
+
 class TestUnreadRequests:
     """Requests that cannot be read are counted and logged."""
 
