--- a/libs/citronshelf_instance/citronshelf_instance/metrics.py
+++ b/libs/citronshelf_instance/citronshelf_instance/metrics.py
@@ -14,6 +14,7 @@
     'hedges': 'Second dispatches of requests whose answer is overdue',
     'responses_dropped': 'Responses ended because their memory was full',
     'quota': 'Requests of accounts with a limit, by decision',
+    'admission_refusals': 'Requests refused by admission control, by reason',
     'repeats': 'Repeats that the retry budget paid for',
     'repeats_denied': 'Repeats that the retry budget did not allow',
 }
--- a/libs/citronshelf_instance/citronshelf_instance/request_handler.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_handler.py
@@ -8,6 +8,7 @@
 from citronshelf_common import events as log_events
 from citronshelf_common import outcomes
 from citronshelf_entry import request_head
+from citronshelf_instance import admission
 from citronshelf_instance import caller_identity
 from citronshelf_instance import caller_request
 from citronshelf_instance import caller_response
@@ -72,6 +73,8 @@
         Monotonic seconds.
     quotas : QuotaExchange or None
         None if accounts have no quotas.
+    admission_control : Admission or None
+        All requests are admitted if None.
     """
 
     def __init__(
@@ -84,8 +87,10 @@
         metrics: metrics.InstanceMetrics,
         clock,
         quotas: quota_exchange.QuotaExchange | None = None,
+        admission_control: admission.Admission | None = None,
     ):
         self.quotas = quotas
+        self.admission_control = admission_control
         self.state = state
         self.reader = reader
         self.identifier = identifier
@@ -152,6 +157,7 @@
             or self.identify_caller(handled)
             or await self.check_quota(handled)
             or self.choose_service(handled)
+            or self.check_admission(handled)
         )
 
     async def await_configuration(self) -> request_head.RequestRefusal | None:
@@ -231,6 +237,16 @@
         handled.token = token
         return None
 
+    def check_admission(
+        self, handled: HandledRequest
+    ) -> request_head.RequestRefusal | None:
+        """Refuse a request for which its service has no room."""
+        if self.admission_control is None:
+            return None
+        return self.admission_control.check(
+            handled.request, handled.routed, handled.caller
+        )
+
     def return_token(self, handled: HandledRequest) -> None:
         """Give back the token of a request that did not run."""
         if handled.token is not None:
