instance: pass configurations on between instances

Every instance read each version from the store, over the link between regions. Now readers pass a version on to their region in a tree, compressed and as a difference from the version before, and one copy goes to each other region at once. A digest guards against a difference from another base, and a lower revision is never applied.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -130,6 +130,10 @@
         self.peers.on_peer_revision = self.reader.handle_peer_revision
         self.peers.is_store_current = self.reader.is_current
         self.reader.on_unchanged = self.peers.send_report
+        exchange = self.peers.configurations
+        self.reader.share_configuration = exchange.share
+        self.reader.expects_configuration = exchange.is_expecting
+        exchange.on_applied = self.reader.end_superseded_watch
         self.budgets = retry_budget.RetryBudgets(
             settings=make_budget_settings(table), clock=clock, rng=self.rng
         )
@@ -248,6 +252,21 @@
             'Store reachable',
             lambda: self.reader.is_reachable,
         )
+        add(
+            'configuration_bytes_sent',
+            'Bytes of configurations sent to other instances',
+            lambda: self.peers.configurations.bytes_sent,
+        )
+        add(
+            'configuration_requests',
+            'Requests for configurations that did not arrive',
+            lambda: self.peers.configurations.requests,
+        )
+        add(
+            'configurations_received',
+            'Configurations in force that other instances sent',
+            lambda: self.peers.configurations.received,
+        )
         add(
             'peer_messages_dropped',
             'Messages to instances that could not be queued',
--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -143,3 +143,27 @@
 LOOP_DELAYED = Event(
     1943, 'loop-delayed', logging.WARNING, 'event loop ran late'
 )
+CONFIGURATION_PASSED_ON = Event(
+    1965,
+    'configuration-passed-on',
+    logging.INFO,
+    'configuration sent to other instances',
+)
+CONFIGURATION_FROM_PEER = Event(
+    1966,
+    'configuration-from-peer',
+    logging.INFO,
+    'configuration received from another instance',
+)
+CONFIGURATION_REQUESTED = Event(
+    1967,
+    'configuration-requested',
+    logging.INFO,
+    'announced configuration has not arrived; requesting it',
+)
+CONFIGURATION_TRANSFER_REFUSED = Event(
+    1968,
+    'configuration-transfer-refused',
+    logging.WARNING,
+    'configuration of another instance cannot be used',
+)
--- a/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
@@ -14,6 +14,8 @@
 MAX_MEMBERS = 512
 MAX_OBSERVATIONS = 256
 MAX_AGES = 8192
+MAX_CONFIGURATION_BYTES = 1536 * 1024
+MAX_CONFIGURATION_TARGETS = 8192
 
 ShortText = Annotated[str, msgspec.Meta(max_length=128)]
 Revision = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
@@ -251,6 +253,86 @@
     sender: Member
 
 
+class ConfigurationNotice(NamedTuple):
+    """Announces a configuration that the sender has read from the store.
+
+    Its receivers get it soon, and ask another instance if they do not.
+    """
+
+    sender: Member
+    revision: Revision
+
+
+class ConfigurationRequest(NamedTuple):
+    """Requests the configuration if it is newer than a revision."""
+
+    sender: Member
+    revision: Revision
+
+
+class TransferHead(NamedTuple):
+    """What comes with a configuration that is passed on.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the configuration.
+    digest : bytes
+        Checksum of the configuration.
+    delta : RegistrationDelta or None
+        Registrations that changed with the configuration; None if unknown.
+    confirmed_ago_s : float or None
+        Seconds since the store showed the sender that the state after
+        ``delta`` was the newest; None if unknown.
+    targets : tuple of int
+        Keys of the members to which the receiver passes it on, directly or
+        through others.
+    for_region : bool
+        The receiver passes it on to its whole region if it is new there.
+    """
+
+    revision: Revision
+    digest: Annotated[bytes, msgspec.Meta(max_length=32)]
+    delta: configuration.RegistrationDelta | None
+    confirmed_ago_s: AgeS | None
+    targets: Annotated[
+        tuple[MemberKey, ...],
+        msgspec.Meta(max_length=MAX_CONFIGURATION_TARGETS),
+    ]
+    for_region: bool = False
+
+
+ConfigurationData = Annotated[
+    bytes, msgspec.Meta(max_length=MAX_CONFIGURATION_BYTES)
+]
+
+
+class ConfigurationCopy(NamedTuple):
+    """Passes on a compressed configuration."""
+
+    sender: Member
+    head: TransferHead
+    data: ConfigurationData
+
+
+class ConfigurationDifference(NamedTuple):
+    """Passes on a configuration as its difference from another.
+
+    Attributes
+    ----------
+    sender : Member
+    head : TransferHead
+    data : bytes
+    base : int
+        Revision of the configuration from which it differs.
+    """
+
+    sender: Member
+    head: TransferHead
+    data: ConfigurationData
+    base: Revision
+
+
 CODEC = wire.Codec(
     messages=(
         Join,
@@ -267,6 +349,10 @@
         MembersRequest,
         EvidenceForZone,
         ServerLeavingForZone,
+        ConfigurationNotice,
+        ConfigurationRequest,
+        ConfigurationCopy,
+        ConfigurationDifference,
     )
 )
 
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -11,6 +11,7 @@
 from citronshelf_common import events as log_events
 from citronshelf_common import fleet
 from citronshelf_instance import configuration
+from citronshelf_instance import configuration_exchange
 from citronshelf_instance import events
 from citronshelf_instance import evidence_exchange
 from citronshelf_instance import membership
@@ -113,6 +114,16 @@
             clock=clock,
             rng=rng,
         )
+        self.configurations = configuration_exchange.ConfigurationExchange(
+            own=own,
+            state=state,
+            zones=self.zones,
+            readers=readers,
+            send=self.send,
+            reply=self.reply,
+            clock=clock,
+            rng=rng,
+        )
         self.next_heartbeat_s = 0.0
         self.next_remote_heartbeat_s = 0.0
         self.has_left = False
@@ -254,6 +265,10 @@
         chosen += self.sample(
             self.zones.remote_contacts(), REMOTE_ANNOUNCEMENT_PEERS
         )
+        newest = self.state.configuration
+        if newest and newest.revision == self.state.change_revision:
+            # First, so that receivers wait for it instead of reading it.
+            self.configurations.announce(chosen)
         message = self.make_heartbeat(0)
         for peer in chosen:
             self.send(peer.member.address, message)
@@ -401,6 +416,15 @@
                 self.evidence.receive_leaving(message)
             case peer_messages.ServerLeavingForZone():
                 self.evidence.relay_leaving(message)
+            case peer_messages.ConfigurationNotice():
+                self.configurations.receive_notice(message, route)
+            case peer_messages.ConfigurationRequest():
+                self.configurations.answer(message, route)
+            case (
+                peer_messages.ConfigurationCopy()
+                | peer_messages.ConfigurationDifference()
+            ):
+                self.configurations.receive(message, route)
             case peer_messages.FetchState():
                 self.send_state(message, route)
             case peer_messages.StateCopy():
@@ -594,6 +618,7 @@
     def close(self) -> None:
         """Cancel scheduled messages, so that nothing more is sent."""
         self.evidence.close()
+        self.configurations.close()
 
     def leave(self) -> None:
         """Announce to all instances that this one stops.
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -151,6 +151,34 @@
             )
         return True
 
+    def apply_transfer(
+        self,
+        published: configuration.Configuration,
+        delta: configuration.RegistrationDelta | None,
+        *,
+        source: str,
+        confirmed_ago_s: float | None,
+    ) -> None:
+        """Apply a configuration that another instance read.
+
+        Parameters
+        ----------
+        published : Configuration
+        delta : RegistrationDelta or None
+            All that changed beside the configuration. If changes before it
+            are missing, this instance still lacks them afterwards.
+        source : str
+            Name of the other instance.
+        confirmed_ago_s : float or None
+            As in ``apply_delta``.
+        """
+        self.apply_configuration(published, source)
+        if delta is not None and self.apply_delta(delta, confirmed_ago_s):
+            self.change_revision = max(self.change_revision, delta.revision)
+            self.unchanged_since = delta.revision
+        if self.is_routable():
+            self.routable.set()
+
     def empty_delta(self) -> configuration.RegistrationDelta:
         """Return the range of revisions in which nothing changed."""
         return configuration.RegistrationDelta(
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -126,9 +126,12 @@
         # Newest configuration that this instance itself has tried to read.
         self.tried_revision = 0
         self.outdated = asyncio.Event()
+        self.superseded = asyncio.Event()
         self.peer_revision = 0
         self.calls = 0
         self.on_unchanged = lambda: None
+        self.share_configuration = lambda before, newest, delta: None
+        self.expects_configuration = lambda: False
 
     async def run(self) -> None:
         """Follow the store, or readers of it, until cancelled."""
@@ -202,7 +205,7 @@
         while self.group.is_covered() and self.clock() < poll_at_s:
             if self.is_behind():
                 await asyncio.sleep(OUTDATED_DELAY_S * self.rng.uniform(1, 2))
-                if self.is_behind():
+                if self.is_behind() and not self.expects_configuration():
                     return
             self.state.directory.drop_lapsed()
             self.outdated.clear()
@@ -253,12 +256,19 @@
             return
         self.record_response()
         after = min(after, self.state.unchanged_since)
+        before = self.state.configuration
         response_age_s = self.response_age_s(began_s, wait_s, changed.ok)
         self.state.apply(changed.ok, response_age_s)
         self.tried_revision = max(
             self.tried_revision, changed.ok.unread_configuration
         )
         if not changed.ok.is_empty():
+            if changed.ok.configuration is not None:
+                self.share_configuration(
+                    before,
+                    changed.ok.configuration,
+                    make_registration_delta(after, changed.ok),
+                )
             self.send_report(make_delta(after, changed.ok))
             await asyncio.sleep(PAUSE_AFTER_CHANGE_S)
             return
@@ -283,8 +293,8 @@
         """Call the store for changes.
 
         Returns None if the call was abandoned because a peer has known a newer
-        revision for a while, or because the list became too old. The next call
-        then starts from the revision that is known by that time. A call
+        revision for a while or sent it, or the list became too old. The next
+        call then starts from the revision that is known by that time. A call
         without a wait is never abandoned, so that its timeout shows an outage.
         """
         if wait_s == 0.0 and self.is_reachable:
@@ -292,7 +302,9 @@
         watching = asyncio.ensure_future(self.store.watch(after, wait_s))
         waiters = {watching}
         if wait_s > 0:
+            self.superseded.clear()
             waiters.add(asyncio.ensure_future(self.wait_outdated()))
+            waiters.add(asyncio.ensure_future(self.superseded.wait()))
         try:
             await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
             return watching.result() if watching.done() else None
@@ -347,6 +359,13 @@
                 break
         await asyncio.sleep(OUTDATED_DELAY_S * self.rng.uniform(1, 2))
 
+    def end_superseded_watch(self) -> None:
+        """End a watch whose response another instance has sent before it.
+
+        The response would have the same configuration once more.
+        """
+        self.superseded.set()
+
     def handle_peer_revision(self, revision: int) -> None:
         """Handle the revision of the newest change that a peer knows.
 
@@ -441,8 +460,20 @@
 
     None if there are too many, or if the configuration changed.
     """
+    if changes.changes_configuration():
+        return None
+    return make_registration_delta(after, changes)
+
+
+def make_registration_delta(
+    after: int, changes: configuration.Changes
+) -> configuration.RegistrationDelta | None:
+    """Return what changed beside a configuration.
+
+    None if there is too much, or another configuration that cannot be read.
+    """
     if (
-        changes.changes_configuration()
+        changes.unread_configuration
         or len(changes.registrations) > MAX_DELTA_REGISTRATIONS
     ):
         return None
--- a/libs/citronshelf_instance/tests/virtual_fleet.py
+++ b/libs/citronshelf_instance/tests/virtual_fleet.py
@@ -134,6 +134,10 @@
         self.peers.on_peer_revision = self.reader.handle_peer_revision
         self.peers.is_store_current = self.reader.is_current
         self.reader.on_unchanged = self.peers.send_report
+        exchange = self.peers.configurations
+        self.reader.share_configuration = exchange.share
+        self.reader.expects_configuration = exchange.is_expecting
+        exchange.on_applied = self.reader.end_superseded_watch
 
     def start(self):
         self.tasks = [
