instance: second attempts of slow requests by settings

The table [hedging] limits second attempts to a share of the idempotent requests, summed over all instances, and starts them after a quantile of the recent response times of the route or after a fixed time. Without the table nothing changes.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -21,6 +21,7 @@
 from citronshelf_instance import dispatch
 from citronshelf_instance import events
 from citronshelf_instance import forwarding
+from citronshelf_instance import hedging
 from citronshelf_instance import loop_delay
 from citronshelf_instance import membership
 from citronshelf_instance import metrics
@@ -147,6 +148,9 @@
             is_up_to_date=self.reader.is_up_to_date,
             names=names,
         )
+        self.hedger = hedging.Hedger(
+            table=table.get('hedging'), clock=clock, rng=self.rng
+        )
         self.forwarder = self.make_forwarder(clock)
         self.handler = request_handler.RequestHandler(
             state=self.state,
@@ -172,6 +176,7 @@
             rng=self.rng,
         )
         return forwarding.Forwarder(
+            hedger=self.hedger,
             placer=placer,
             client=self.client,
             names=self.names,
@@ -395,11 +400,12 @@
         )
 
     def apply_settings(self) -> None:
-        """Apply seeds, retry budgets and distance costs from the settings."""
+        """Apply the settings that need no restart."""
         seeds = self.table['peers']['seeds']
         self.peers.set_seeds([parse_address(text) for text in seeds])
         self.budgets.set_settings(make_budget_settings(self.table))
         self.forwarder.placer.distances = make_distance_costs(self.table)
+        self.hedger.table = self.table.get('hedging')
 
     def unready_reason(self) -> str:
         """Return why the instance is not ready, or an empty string."""
--- a/libs/citronshelf_instance/citronshelf_instance/dispatch.py
+++ b/libs/citronshelf_instance/citronshelf_instance/dispatch.py
@@ -97,6 +97,11 @@
     server : RegisteredServer
     expires_s : float
         Monotonic time by which the caller gets its final response.
+
+    Attributes
+    ----------
+    overdue_at_s : float
+        Monotonic time from which the response is overdue.
     """
 
     def __init__(
@@ -116,6 +121,7 @@
         self.server: registrations.RegisteredServer = server
         self.expires_s = expires_s
         self.started_s = forwarder.clock()
+        self.overdue_at_s = expires_s
         self.exchange: exchange.Exchange | None = None
         self.stalled = False
         self.aborted = False
--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -152,3 +152,12 @@
     logging.INFO,
     'a new configuration changed the identity of a waiting caller',
 )
+HEDGE_STARTED = Event(
+    1970, 'hedge-started', logging.INFO, 'second attempt started'
+)
+HEDGE_DENIED = Event(
+    1971, 'hedge-denied', logging.INFO, 'second attempt not started'
+)
+HEDGE_ENDED = Event(
+    1972, 'hedge-ended', logging.INFO, 'request with a second attempt ended'
+)
--- a/libs/citronshelf_instance/citronshelf_instance/forwarding.py
+++ b/libs/citronshelf_instance/citronshelf_instance/forwarding.py
@@ -12,8 +12,10 @@
 from citronshelf_instance import caller_response
 from citronshelf_instance import dispatch
 from citronshelf_instance import events
+from citronshelf_instance import hedging
 from citronshelf_instance import placement
 from citronshelf_instance import registrations
+from citronshelf_instance import request_hedge
 from citronshelf_instance import retry_budget
 from citronshelf_instance import routing
 
@@ -60,6 +62,8 @@
         Identifies callers again before each dispatch; None without accounts.
     max_response_bytes : int
         Larger responses are not passed on.
+    hedger : Hedger or None
+        Decides about second attempts for which there are settings.
 
     Attributes
     ----------
@@ -82,7 +86,9 @@
         report_leaving=lambda server: None,
         identifier: caller_identity.CallerIdentifier | None = None,
         max_response_bytes: int = dispatch.MAX_RESPONSE_BYTES,
+        hedger: hedging.Hedger | None = None,
     ):
+        self.hedger = hedger
         self.report_leaving = report_leaving
         self.identifier = identifier
         self.max_response_bytes = max_response_bytes
@@ -112,6 +118,7 @@
         running = RunningRequest(
             forwarder=self, request=request, routed=routed, caller=caller
         )
+        running.hedge.record_request()
         try:
             return await running.run()
         except asyncio.CancelledError:
@@ -121,6 +128,7 @@
             return running.stop()
         finally:
             running.cancel()
+            running.hedge.record_end()
 
 
 class RunningRequest:
@@ -165,6 +173,7 @@
         self.failed_response: outcomes.Response | None = None
         self.not_run_reason = 'no-server'
         self.refusal: request_head.RequestRefusal | None = None
+        self.hedge = request_hedge.RequestHedge(running=self)
 
     async def run(self) -> FinalOutcome:
         """Dispatch until there is an outcome and return it.
@@ -188,6 +197,7 @@
                 return self.time_out()
             self.check_loan()
             self.check_for_stall()
+            self.hedge.check()
         return self.final_outcome()
 
     def unfinished_tasks(self) -> set[asyncio.Task]:
@@ -197,9 +207,8 @@
 
     def next_wakeup_s(self) -> float:
         """Return the monotonic time to act if no dispatch has finished."""
-        if self.overdue_at_s is None:
-            return self.expires_s
-        return min(self.overdue_at_s, self.expires_s)
+        times_s = (self.overdue_at_s, self.hedge.start_at_s, self.expires_s)
+        return min(each for each in times_s if each is not None)
 
     def collect_finished(self) -> outcomes.Response | None:
         """Handle finished dispatches.
@@ -212,6 +221,7 @@
             self.forwarder.metrics.count_dispatch(result.kind)
             match result:
                 case dispatch.GoodResult():
+                    self.hedge.record_response(finished_dispatch)
                     return result.response
                 case dispatch.NotRunResult():
                     self.handle_not_run(finished_dispatch, result)
@@ -246,7 +256,9 @@
         if self.route.idempotent and not self.running:
             self.start(is_retry=True)
 
-    def start(self, *, is_retry: bool) -> bool:
+    def start(
+        self, *, is_retry: bool, excluded: frozenset[str] = frozenset()
+    ) -> bool:
         """Dispatch to one more server if possible.
 
         The route's limit of servers, the remaining time, a caller whose key
@@ -254,6 +266,12 @@
         for a retry, the retry budget can prevent it. Without a credit, a
         retry is started later if another instance lends one. Returns whether
         the request was dispatched.
+
+        Parameters
+        ----------
+        is_retry : bool
+        excluded : frozenset of str
+            Ids of servers that must not get this dispatch.
         """
         forwarder = self.forwarder
         now = forwarder.clock()
@@ -273,7 +291,7 @@
             self.service,
             self.request.head.request_id,
             len(self.request.body),
-            self.tried,
+            self.tried | excluded,
         )
         if server is None:
             return False
@@ -290,10 +308,13 @@
             server=server,
             expires_s=self.expires_s,
         )
+        new_dispatch.overdue_at_s = now + self.stall_timeout_s(server)
+        if self.overdue_at_s is None or not self.running:
+            self.overdue_at_s = new_dispatch.overdue_at_s
         task = asyncio.create_task(new_dispatch.run())
         self.running[task] = new_dispatch
         self.all_dispatches.append(new_dispatch)
-        self.overdue_at_s = now + self.stall_timeout_s(server)
+        self.hedge.plan(new_dispatch)
         if is_retry and len(self.running) > 1:
             forwarder.metrics.count('hedges')
         return True
@@ -374,7 +395,9 @@
         if self.loan is None or not self.loan.done():
             return
         self.loan = None
-        if not self.running or self.overdue_at_s is None:
+        if self.running and self.hedge.rule is not None:
+            self.hedge.start()
+        elif not self.running or self.overdue_at_s is None:
             self.start(is_retry=True)
 
     def stall_timeout_s(self, server: registrations.RegisteredServer) -> float:
@@ -392,17 +415,19 @@
         """Record a stall and hedge if a response is overdue.
 
         Only idempotent requests are hedged, and only while a dispatch runs:
-        after the last one has ended, its retry has been decided.
+        after the last one has ended, its retry has been decided. With settings
+        for second attempts, those decide instead.
         """
-        if (
-            self.overdue_at_s is None
-            or self.forwarder.clock() < self.overdue_at_s
-        ):
+        now = self.forwarder.clock()
+        if self.overdue_at_s is None or now < self.overdue_at_s:
             return
         self.overdue_at_s = None
         for running_dispatch in self.running.values():
-            running_dispatch.record_stall()
-        if self.route.idempotent and self.running:
+            if running_dispatch.overdue_at_s <= now:
+                running_dispatch.record_stall()
+            elif self.overdue_at_s is None:
+                self.overdue_at_s = running_dispatch.overdue_at_s
+        if self.route.idempotent and self.running and self.hedge.rule is None:
             self.start(is_retry=True)
 
     def time_out(self) -> FinalOutcome:
@@ -413,6 +438,7 @@
         """
         for running_dispatch in self.running.values():
             running_dispatch.record_timeout()
+        self.hedge.record_first_time()
         if self.abort_running():
             self.unknown_reason = (
                 self.unknown_reason or caller_response.TIMEOUT_REASON
--- a/libs/citronshelf_instance/citronshelf_instance/metrics.py
+++ b/libs/citronshelf_instance/citronshelf_instance/metrics.py
@@ -12,6 +12,8 @@
     'dispatches': 'Dispatches to backend servers, by result',
     'announcements': 'Announcements of servers in responses, by kind',
     'hedges': 'Second dispatches of requests whose answer is overdue',
+    'hedges_denied': 'Second attempts that were not started, by reason',
+    'hedges_won': 'Second attempts whose response was used',
     'responses_dropped': 'Responses ended because their memory was full',
     'repeats': 'Repeats that the retry budget paid for',
     'repeats_denied': 'Repeats that the retry budget did not allow',
--- a/libs/citronshelf_instance/citronshelf_instance/settings.py
+++ b/libs/citronshelf_instance/citronshelf_instance/settings.py
@@ -13,6 +13,7 @@
 Loss = Annotated[float, msgspec.Meta(ge=0, le=10)]
 Ratio = Annotated[float, msgspec.Meta(ge=0, le=10)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Quantile = Annotated[float, msgspec.Meta(gt=0, lt=1)]
 Megabytes = Annotated[float, msgspec.Meta(ge=64)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
@@ -76,16 +77,38 @@
     min_share: Share
 
 
+class HedgingRuleTable(TypedDict):
+    """Second attempts for the requests of one service or one route.
+
+    What is missing is taken from the more general table. ``after_s`` and
+    ``quantile`` replace each other, as in ``HedgingTable``. A ``limit`` holds
+    for the requests of that service, or of that route at each service, alone.
+    """
+
+    limit: NotRequired[Share]
+    quantile: NotRequired[Quantile]
+    after_s: NotRequired[Seconds]
+
+
 class HedgingTable(TypedDict):
     """Second attempts of idempotent requests whose response is slow.
 
-    At most ``limit`` of the requests get one. It may start after
-    ``quantile`` of the response times of its route, or after ``after_s``.
+    Without the table, a second attempt starts after three times the usual
+    time, within the retry budget. With it, at most ``limit`` of the
+    idempotent requests of each service get one, summed over all instances and
+    60 s, and within the retry budget. It may start after ``quantile`` of the
+    recent response times of its route, or ``after_s`` seconds after the
+    first. With both, ``after_s`` counts; with neither, the quantile is 0.95.
+
+    ``services`` and ``routes`` have other values by the name of a service or
+    route; a route takes precedence over its service.
     """
 
     limit: Share
-    quantile: NotRequired[Share]
+    quantile: NotRequired[Quantile]
     after_s: NotRequired[Seconds]
+    services: NotRequired[dict[str, HedgingRuleTable]]
+    routes: NotRequired[dict[str, HedgingRuleTable]]
 
 
 class PlacementTable(TypedDict):
--- a/libs/citronshelf_instance/tests/test_settings.py
+++ b/libs/citronshelf_instance/tests/test_settings.py
@@ -40,3 +40,37 @@
         fault = load(text.replace(good, bad)).error
         assert fault.key.startswith(key)
         assert fault.line > 0
+
+
+class TestHedging:
+    """The table for second attempts is optional and checked."""
+
+    def load_with(self, table):
+        text = EXAMPLE.read_text(encoding='utf-8')
+        return load(f'{text}\n[hedging]\n{table}')
+
+    def test_values_by_service_and_route_are_valid(self):
+        loaded = self.load_with(
+            'limit = 0.02\nquantile = 0.95\n'
+            '[hedging.services."a.b"]\nafter_s = 0.2\n'
+            '[hedging.routes.lookup]\nlimit = 0.0\n'
+        )
+        assert loaded.ok['hedging']['services'] == {'a.b': {'after_s': 0.2}}
+
+    # Guards against values that would allow any extra work or none.
+    @pytest.mark.parametrize(
+        'table, key',
+        [
+            ('limit = 2', 'hedging.limit'),
+            ('quantile = 0.9', 'hedging'),
+            ('limit = 0.1\nquantile = 1.0', 'hedging.quantile'),
+            ('limit = 0.1\nafter_s = -1', 'hedging.after_s'),
+            ('limit = 0.1\nshare = 1', 'hedging.share'),
+            (
+                'limit = 0.1\n[hedging.routes.a]\nlimit = 2',
+                'hedging.routes.a.limit',
+            ),
+        ],
+    )
+    def test_fault_names_the_key(self, table, key):
+        assert self.load_with(table).error.key == key
