instance: start second attempts where they save most time

The start is at the quantile or later: with few credits, second attempts at the quantile went to requests that were about to end. Times of cancelled first attempts count as longer ones, or the tail would be forgotten.

--- a/libs/citronshelf_instance/citronshelf_instance/hedging.py
+++ b/libs/citronshelf_instance/citronshelf_instance/hedging.py
@@ -5,6 +5,7 @@
 are injected.
 """
 
+import bisect
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -36,6 +37,13 @@
 MIN_SAMPLES = 20
 # Quantiles are computed again after this many new response times.
 RECOMPUTE_SAMPLES = 20
+# Steps of the search for the quantile of a time.
+QUANTILE_STEPS = 12
+# The start is chosen among this many times, from the quantile on.
+START_STEPS = 40
+# A start follows a time by more than the width of a bin of the sketch, so that
+# it is after all times of that bin.
+START_MARGIN = 1 + 2 * SKETCH_ACCURACY
 # Beyond this many routes, the times of the one added first are dropped.
 MAX_ROUTES = 512
 # Median slowness of the servers from which their service counts as near its
@@ -137,7 +145,7 @@
         self.current = new_sketch()
         self.previous = new_sketch()
         self.begun_s = clock()
-        self.computed: dict[float, float] = {}
+        self.computed: dict[tuple[float, float], float] = {}
         self.unseen = 0
 
     def record(self, seconds: float) -> None:
@@ -164,14 +172,85 @@
         sketch.merge(self.current)
         return sketch
 
-    def quantile_s(self, quantile: float) -> float | None:
-        """Return a quantile in seconds; None with too few responses."""
-        if self.previous.count + self.current.count < MIN_SAMPLES:
+    def is_known(self) -> bool:
+        """Return whether there are enough response times."""
+        return self.previous.count + self.current.count >= MIN_SAMPLES
+
+    def start_s(self, quantile: float, share: float) -> float | None:
+        """Return when a second attempt may start; None if not known.
+
+        Parameters
+        ----------
+        quantile : float
+            The second attempt starts at this quantile or later.
+        share : float
+            Share of the requests that have a credit for one.
+        """
+        if not self.is_known():
             return None
-        if quantile not in self.computed:
-            value = self.merged().get_quantile_value(quantile)
-            self.computed[quantile] = value
-        return self.computed[quantile]
+        key = (quantile, share)
+        if key not in self.computed:
+            sketch = self.merged()
+            tail_s = [
+                sketch.get_quantile_value(
+                    quantile + (1 - quantile) * step / START_STEPS
+                )
+                for step in range(START_STEPS)
+            ]
+            self.computed[key] = choose_start_s(
+                tail_s,
+                usual_s=sketch.get_quantile_value(0.5),
+                share=share / (1 - quantile),
+            )
+        return self.computed[key]
+
+    def draw_longer(self, seconds: float, rng: random.Random) -> float:
+        """Draw a recent response time that is longer than a lower bound.
+
+        Returns the bound if there is none.
+        """
+        sketch = self.merged()
+        if not self.is_known() or sketch.get_quantile_value(1.0) <= seconds:
+            return seconds
+        shorter, longer = 0.0, 1.0
+        for _ in range(QUANTILE_STEPS):
+            middle = (shorter + longer) / 2
+            if sketch.get_quantile_value(middle) > seconds:
+                longer = middle
+            else:
+                shorter = middle
+        return sketch.get_quantile_value(rng.uniform(longer, 1.0))
+
+
+def choose_start_s(
+    tail_s: list[float], *, usual_s: float, share: float
+) -> float:
+    """Return the start that saves most time with limited second attempts.
+
+    A start saves the expected remaining time less the usual time, for all
+    slower requests or as many as have a credit. Without any saving it is
+    after the longest time.
+
+    Parameters
+    ----------
+    tail_s : list of float
+        Sorted response times of the slow requests, all as frequent.
+    usual_s : float
+        Time of a second attempt.
+    share : float
+        Share of the slow requests that have a credit.
+    """
+    best_s, best_saving = START_MARGIN * tail_s[-1], 0.0
+    for time_s in tail_s:
+        start_s = START_MARGIN * time_s
+        slower = tail_s[bisect.bisect_right(tail_s, start_s) :]
+        if not slower:
+            break
+        saved_s = sum(max(0.0, each - start_s - usual_s) for each in slower)
+        given = min(1.0, share * len(tail_s) / len(slower))
+        if given * saved_s > best_saving:
+            best_s, best_saving = start_s, given * saved_s
+    return best_s
 
 
 def is_near_limit(
@@ -302,17 +381,22 @@
         """Spend the credit for a second attempt that starts."""
         self.credits_of(rule, route, service).try_spend()
 
-    def record_time(self, route: str, seconds: float) -> None:
+    def record_time(
+        self, route: str, seconds: float, *, is_lower_bound: bool = False
+    ) -> None:
         """Record the response time of a first attempt.
 
         If it was cancelled, because the second one was faster, the time until
-        then is a lower bound. Without it, the tail would be forgotten.
+        then is a lower bound. It counts as one of the longer times: without
+        them the tail would be forgotten, and second attempts would stop.
         """
         times = self.times.get(route)
         if times is None:
             times = self.times[route] = RouteTimes(clock=self.clock)
             if len(self.times) > MAX_ROUTES:
                 self.times.popitem(last=False)
+        if is_lower_bound:
+            seconds = times.draw_longer(seconds, self.rng)
         times.record(seconds)
 
     def delay_s(self, rule: Rule, route: str) -> float | None:
@@ -323,7 +407,11 @@
         if rule.after_s is not None:
             return rule.after_s
         times = self.times.get(route)
-        return times.quantile_s(rule.quantile) if times else None
+        if times is None:
+            return None
+        # No more than this share of the requests complete a credit.
+        share = rule.limit / (1 + retry_budget.CREDIT_LIFE_SHARE)
+        return times.start_s(rule.quantile, share)
 
     def find_doubtful(
         self,
--- a/libs/citronshelf_instance/citronshelf_instance/request_hedge.py
+++ b/libs/citronshelf_instance/citronshelf_instance/request_hedge.py
@@ -158,12 +158,16 @@
         if self.rule is not None and self.first in (
             self.running.running.values()
         ):
-            self.record_time(self.first)
+            self.record_time(self.first, is_lower_bound=True)
 
-    def record_time(self, measured: dispatch.Dispatch) -> None:
+    def record_time(
+        self, measured: dispatch.Dispatch, *, is_lower_bound: bool = False
+    ) -> None:
         """Record the time of one attempt for its route."""
         elapsed_s = self.running.forwarder.clock() - measured.started_s
-        self.hedger.record_time(self.running.route.name, elapsed_s)
+        self.hedger.record_time(
+            self.running.route.name, elapsed_s, is_lower_bound=is_lower_bound
+        )
 
     def record_end(self) -> None:
         """Log the outcome of a request that had a second attempt."""
--- a/libs/citronshelf_instance/citronshelf_instance/settings.py
+++ b/libs/citronshelf_instance/citronshelf_instance/settings.py
@@ -96,9 +96,10 @@
     Without the table, a second attempt starts after three times the usual
     time, within the retry budget. With it, at most ``limit`` of the
     idempotent requests of each service get one, summed over all instances and
-    60 s, and within the retry budget. It may start after ``quantile`` of the
-    recent response times of its route, or ``after_s`` seconds after the
-    first. With both, ``after_s`` counts; with neither, the quantile is 0.95.
+    60 s, and within the retry budget. It starts after ``quantile`` of the
+    recent response times of its route, or later where that saves more time;
+    or ``after_s`` seconds after the first. With both, ``after_s`` counts;
+    with neither, the quantile is 0.95.
 
     ``services`` and ``routes`` have other values by the name of a service or
     route; a route takes precedence over its service.
--- a/measures/tail_latency.py
+++ b/measures/tail_latency.py
@@ -139,8 +139,8 @@
         self.count = 0
         self.start_s = None
 
-    def record_time(self, route, seconds):
-        super().record_time(route, seconds)
+    def record_time(self, route, seconds, *, is_lower_bound=False):
+        super().record_time(route, seconds, is_lower_bound=is_lower_bound)
         self.samples.append(seconds)
         self.count += 1
         if self.count % self.INTERVAL == 0:
@@ -160,6 +160,16 @@
     return NEVER_S
 
 
+class AtQuantile(hedging.Hedger):
+    """Starts exactly at the quantile, whatever is left to save."""
+
+    def delay_s(self, rule, route):
+        times = self.times.get(route)
+        if times is None or not times.is_known():
+            return None
+        return times.merged().get_quantile_value(rule.quantile)
+
+
 class OtherZone(hedging.Hedger):
     """Sends second attempts only to another zone than the first one."""
 
@@ -435,6 +445,11 @@
                 name=f'quantile 0.95, {text}',
                 table=table | {'quantile': 0.95},
             ),
+            Variant(
+                name=f'exactly at the quantile, {text}',
+                table=table | {'quantile': 0.95},
+                policy=AtQuantile,
+            ),
             Variant(
                 name=f'full knowledge, {text}',
                 table=table,
