--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -22,6 +22,7 @@
 from citronshelf_instance import dispatch
 from citronshelf_instance import events
 from citronshelf_instance import forwarding
+from citronshelf_instance import hedging
 from citronshelf_instance import loop_delay
 from citronshelf_instance import membership
 from citronshelf_instance import metrics
@@ -166,6 +167,12 @@
         )
         self.peers.on_quota_report = self.quotas.receive_report
         self.peers.on_quota_reply = self.quotas.receive_reply
+        self.hedger = hedging.Hedger(
+            table=table.get('hedging'),
+            clock=clock,
+            rng=self.rng,
+            is_over_quota=self.quotas.is_over_quota,
+        )
         self.forwarder = self.make_forwarder(clock)
         self.loads = service_load.ServiceLoads(
             directory=self.directory,
@@ -208,6 +215,7 @@
             rng=self.rng,
         )
         return forwarding.Forwarder(
+            hedger=self.hedger,
             placer=placer,
             client=self.client,
             names=self.names,
@@ -471,7 +479,7 @@
         )
 
     def apply_settings(self) -> None:
-        """Apply the settings of seeds, budgets, quotas and distances."""
+        """Apply the settings that need no restart."""
         seeds = self.table['peers']['seeds']
         self.peers.set_seeds([parse_address(text) for text in seeds])
         self.budgets.set_settings(make_budget_settings(self.table))
@@ -479,6 +487,7 @@
         self.forwarder.max_resends = max_resends(self.table)
         self.quotas.set_settings(make_quota_settings(self.table))
         self.forwarder.placer.distances = make_distance_costs(self.table)
+        self.hedger.table = self.table.get('hedging')
 
     def unready_reason(self) -> str:
         """Return why the instance is not ready, or an empty string."""
--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -236,3 +236,12 @@
     logging.WARNING,
     'configuration of another instance cannot be used',
 )
+HEDGE_STARTED = Event(
+    1970, 'hedge-started', logging.INFO, 'second attempt started'
+)
+HEDGE_DENIED = Event(
+    1971, 'hedge-denied', logging.INFO, 'second attempt not started'
+)
+HEDGE_ENDED = Event(
+    1972, 'hedge-ended', logging.INFO, 'request with a second attempt ended'
+)
--- a/libs/citronshelf_instance/citronshelf_instance/quota_exchange.py
+++ b/libs/citronshelf_instance/citronshelf_instance/quota_exchange.py
@@ -302,6 +302,11 @@
             return quota.Refused(usage.admit_from_s - now)
         return decision
 
+    def is_over_quota(self, account: str | None) -> bool:
+        """Return whether requests of an account are being refused."""
+        usage = self.ledger.usages.get(account)
+        return usage is not None and self.clock() < usage.paused_until_s
+
     def give_back(self, token: quota.Token) -> None:
         """Take back the token of a request that did not run."""
         self.metrics.count('quota', 'returned')
