instance: store calls that make progress are not restarted

A reader awaits a response that arrives, reads registrations apart meanwhile, and gives it up when another instance has sent a newer state.

--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -29,6 +29,9 @@
 MAX_CANCELS = 64
 # Limit on a fetched resource: room for two dozen of the store's largest items.
 MAX_FETCHED_BYTES = 32 * 1024 * 1024
+# A fetch that makes progress ends this long after its timeout: a body of 1 MB
+# in Base64 takes 2.2 s on a link of 5 Mbit/s that carries nothing else.
+MAX_TRANSFER_S = 12.0
 # Limit on the response of a server to a cancellation, which is not used, or to
 # a health check.
 MAX_SERVER_STATUS_BYTES = 64 * 1024
@@ -164,6 +167,9 @@
         self.abort = abort
         self.raw_bytes = 0
         self.check_scheduled = False
+        self.has_ended = False
+        self.received_s: float | None = None
+        self.on_data = lambda: None
 
     def on_debug(self, kind: int, text: bytes) -> None:
         """Count bytes after the head; libcurl's ``DEBUGFUNCTION``.
@@ -174,6 +180,8 @@
         if kind != pycurl.INFOTYPE_DATA_IN:
             return
         self.raw_bytes += len(text)
+        self.received_s = asyncio.get_running_loop().time()
+        self.on_data()
         if not self.check_scheduled:
             self.check_scheduled = True
             asyncio.get_running_loop().call_soon(self.check)
@@ -187,6 +195,24 @@
         if exchange.is_framing_oversized(self.raw_bytes, body_bytes):
             self.abort(self.curl)
 
+    def check_stall(self, stall_timeout_s: float) -> None:
+        """Abort the fetch if no byte of the body came for a while."""
+        if self.future.done():
+            return
+        loop = asyncio.get_running_loop()
+        due_s = loop.time()
+        if self.received_s is not None:
+            due_s = self.received_s + stall_timeout_s
+        if loop.time() >= due_s:
+            self.abort(self.curl)
+        else:
+            loop.call_at(due_s, self.check_stall, stall_timeout_s)
+
+    def on_future_done(self, future: asyncio.Future) -> None:
+        """Abort a fetch whose result nobody waits for any more."""
+        if future.cancelled() and not self.has_ended:
+            self.abort(self.curl)
+
 
 class UpstreamClient:
     """Sends requests to backend servers, cancels them, fetches resources.
@@ -274,44 +300,75 @@
         *,
         max_bytes: int = MAX_FETCHED_BYTES,
         new_connection: bool = False,
+        stall_timeout_s: float | None = None,
+        on_data: Callable[[], None] = lambda: None,
     ) -> httpclient.HTTPResponse:
         """Fetch a small resource; a failure is a response with status 599.
 
         A body above ``max_bytes`` is a failure, and so is one with more
         framing than a response to a caller may have. A new connection is not
-        kept afterwards.
+        kept afterwards. A fetch that is cancelled is aborted at once.
+
+        Parameters
+        ----------
+        url : str
+        timeout_s : float
+        max_bytes : int
+        new_connection : bool
+        stall_timeout_s : float or None
+            With it, ``timeout_s`` ends at the first bytes of the body, and
+            the fetch fails if no more came for this time, or after
+            ``MAX_TRANSFER_S`` in all.
+        on_data : callable
+            Called when bytes of the body arrive.
         """
         future = asyncio.get_running_loop().create_future()
+        longest_s = 0.0 if stall_timeout_s is None else MAX_TRANSFER_S
+        options = functools.partial(
+            self.set_fetch_options, max_bytes, new_connection
+        )
+        framings: list[FetchedFraming] = []
+
+        def prepare(curl: pycurl.Curl) -> None:
+            framing = FetchedFraming(
+                curl=curl, future=future, abort=self.curl.abort
+            )
+            framing.on_data = on_data
+            framings.append(framing)
+            options(framing, curl)
+            future.add_done_callback(framing.on_future_done)
+            if stall_timeout_s is not None:
+                asyncio.get_running_loop().call_later(
+                    timeout_s, framing.check_stall, stall_timeout_s
+                )
+
+        def finish(response: httpclient.HTTPResponse) -> None:
+            for framing in framings:
+                framing.has_ended = True
+            resolve(future, response)
+
         request = httpclient.HTTPRequest(
             url,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
-            request_timeout=timeout_s,
+            request_timeout=timeout_s + longest_s,
             follow_redirects=False,
             decompress_response=False,
-            prepare_curl_callback=functools.partial(
-                self.set_fetch_options, max_bytes, new_connection, future
-            ),
-        )
-        self.curl.fetch_impl(
-            wrap_request(request),
-            functools.partial(resolve, future),
+            prepare_curl_callback=prepare,
         )
+        self.curl.fetch_impl(wrap_request(request), finish)
         return await future
 
     def set_fetch_options(
         self,
         max_bytes: int,
         new_connection: bool,
-        future: asyncio.Future,
+        framing: FetchedFraming,
         curl: pycurl.Curl,
     ) -> None:
         """Set the options of a fetch, whose body tornado collects."""
         set_status_options(max_bytes, curl)
         curl.setopt(pycurl.FRESH_CONNECT, int(new_connection))
         curl.setopt(pycurl.FORBID_REUSE, int(new_connection))
-        framing = FetchedFraming(
-            curl=curl, future=future, abort=self.curl.abort
-        )
         curl.setopt(pycurl.VERBOSE, 1)
         curl.setopt(pycurl.DEBUGFUNCTION, framing.on_debug)
 
--- a/libs/citronshelf_instance/citronshelf_instance/events.py
+++ b/libs/citronshelf_instance/citronshelf_instance/events.py
@@ -167,3 +167,9 @@
     logging.WARNING,
     'configuration of another instance cannot be used',
 )
+STORE_CALL_SUPERSEDED = Event(
+    1969,
+    'store-call-superseded',
+    logging.INFO,
+    'response of the store is abandoned for a newer state of an instance',
+)
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -89,7 +89,8 @@
         if snapshot.configuration is not None:
             self.apply_configuration(snapshot.configuration, source)
         self.record_unread(snapshot.unread_configuration)
-        self.directory.replace(snapshot)
+        if snapshot.revision >= self.directory.revision:
+            self.directory.replace(snapshot)
         self.finish_change()
 
     def finish_change(self) -> None:
@@ -110,7 +111,7 @@
             self.apply_configuration(changes.configuration, STORE_SOURCE)
         self.record_unread(changes.unread_configuration)
         if changes.registrations:
-            self.directory.apply(changes)
+            self.apply_registrations(changes)
         if not changes.is_empty():
             self.change_revision = changes.revision
             self.unchanged_since = changes.revision
@@ -118,6 +119,15 @@
         if self.is_routable():
             self.routable.set()
 
+    def apply_registrations(self, changes: configuration.Changes) -> None:
+        """Apply registrations that were read apart from a configuration.
+
+        ``revision`` stays, since a configuration may be missing. Older ones
+        that are read later do not replace them.
+        """
+        if changes.revision >= self.directory.revision:
+            self.directory.apply(changes)
+
     def apply_delta(
         self,
         delta: configuration.RegistrationDelta,
@@ -144,7 +154,7 @@
         self.revision = delta.revision
         if delta.registrations:
             self.change_revision = self.unchanged_since = delta.revision
-            self.directory.apply(
+            self.apply_registrations(
                 configuration.Changes(
                     delta.revision, None, delta.registrations
                 )
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -50,6 +50,9 @@
 # is confirmed often while nothing changes. 0.2 s less than the age at which it
 # would call again, which leaves time for connecting between regions.
 CONFIRMATION_WAIT_S = 1.0
+# While a response arrives, registrations are read apart at this interval, so
+# that they do not wait behind a large configuration.
+TRANSFER_CHECK_S = 0.4
 # Changes of more registrations are read from the store by every instance.
 MAX_DELTA_REGISTRATIONS = 64
 
@@ -81,6 +84,12 @@
         ``Error`` with a ``StoreFault``.
         """
 
+    async def watch_registrations(self, after: int) -> Result:
+        """Return changes of registrations only, without a wait."""
+
+    def is_receiving(self) -> bool:
+        """Return whether a response is arriving."""
+
 
 class StoreReader:
     """Keeps the published state up to date.
@@ -295,7 +304,8 @@
         Returns None if the call was abandoned because a peer has known a newer
         revision for a while or sent it, or the list became too old. The next
         call then starts from the revision that is known by that time. A call
-        without a wait is never abandoned, so that its timeout shows an outage.
+        without a wait is only abandoned while its response arrives, so that
+        its timeout shows an outage.
         """
         if wait_s == 0.0 and self.is_reachable:
             return await self.call_again_if_slow(after)
@@ -307,20 +317,62 @@
             waiters.add(asyncio.ensure_future(self.superseded.wait()))
         try:
             await asyncio.wait(waiters, return_when=asyncio.FIRST_COMPLETED)
+            await self.await_transfer(watching, after)
             return watching.result() if watching.done() else None
         finally:
             for waiter in waiters:
                 waiter.cancel()
 
-    async def call_again_if_slow(self, after: int) -> Result:
+    async def await_transfer(self, call: asyncio.Future, after: int) -> None:
+        """Wait for a response that is arriving.
+
+        Registrations are read apart meanwhile. Returns before the end of the
+        response if no more bytes come, or if another instance sent a newer
+        state: the rest of an older version is of no use.
+        """
+        while not call.done() and self.store.is_receiving():
+            if self.state.revision > after:
+                log_events.log_event(
+                    LOG,
+                    events.STORE_CALL_SUPERSEDED,
+                    after=after,
+                    revision=self.state.revision,
+                )
+                return
+            await self.read_registrations(call, after)
+            await asyncio.wait({call}, timeout=TRANSFER_CHECK_S)
+
+    async def read_registrations(
+        self, call: asyncio.Future, after: int
+    ) -> None:
+        """Read changed registrations while another response arrives."""
+        self.calls += 1
+        reading = asyncio.ensure_future(self.store.watch_registrations(after))
+        try:
+            await asyncio.wait(
+                {call, reading}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if reading.done() and reading.result().is_ok():
+                self.state.apply_registrations(reading.result().ok)
+        finally:
+            reading.cancel()
+
+    async def call_again_if_slow(self, after: int) -> Result | None:
         """Call the store without a wait, and once more if that is slow.
 
         A single response that is lost then delays a change only a little.
-        Returns the first success, or the result of the last call to end.
+        Returns the first success, or the result of the last call to end. None
+        if another instance sent a newer state while a response arrived.
         """
         calls = {asyncio.ensure_future(self.store.watch(after, 0.0))}
         try:
             done, _ = await asyncio.wait(calls, timeout=SLOW_CALL_S)
+            if not done:
+                [call] = calls
+                await self.await_transfer(call, after)
+                if not call.done() and self.state.revision > after:
+                    return None
+                done = call.done()
             if not done:
                 self.fetch_from_peers()
                 self.calls += 1
--- a/libs/citronshelf_instance/tests/test_published.py
+++ b/libs/citronshelf_instance/tests/test_published.py
@@ -187,3 +187,34 @@
         clock.advance(2.0)
         state.apply_delta(configuration.RegistrationDelta(after, revision, {}))
         assert state.age_s() == age_s
+
+
+class TestRegistrationsApart:
+    """Registrations may be newer than the configuration that is known.
+
+    Guards against a draining server that is used again when an older response
+    arrives after the registrations that were read apart.
+    """
+
+    @pytest.mark.parametrize('kind', ['watch', 'delta', 'snapshot'])
+    def test_older_ones_do_not_replace_them(self, clock, kind):
+        state = published.PublishedState(
+            directory=registrations.Directory(clock=clock),
+            clock=clock,
+            rng=random.Random(1),
+        )
+        ready = make_registration('s1')
+        first = configuration.Snapshot(3, make_configuration(), (ready,))
+        state.replace(first, source=published.STORE_SOURCE)
+        draining = {'s1': make_registration('s1', draining=True)}
+        state.apply_registrations(configuration.Changes(9, None, draining))
+        older = {'s1': ready}
+        match kind:
+            case 'watch':
+                state.apply(configuration.Changes(5, None, older))
+            case 'delta':
+                state.apply_delta(configuration.RegistrationDelta(3, 5, older))
+            case 'snapshot':
+                state.replace(first._replace(revision=5), source='peer')
+        assert state.revision == 5
+        assert state.directory.servers['s1'].registration.draining
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -46,6 +46,9 @@
         self.waits.append(wait_s)
         return await self.next_of(self.watches)
 
+    def is_receiving(self):
+        return False
+
     async def next_of(self, results):
         if not results:
             await asyncio.Event().wait()
@@ -419,6 +422,74 @@
         assert store.waits[:2] == [0.0, 0.0]
 
 
+class ArrivingStore(ScriptedStore):
+    """Store whose first watch brings bytes without an end."""
+
+    def __init__(self, reads, apart):
+        super().__init__(reads)
+        self.apart = apart
+
+    def is_receiving(self):
+        return bool(self.watched)
+
+    async def watch_registrations(self, after):
+        return Ok(self.apart)
+
+
+class TestArrivingResponse:
+    """A response that arrives is awaited, and nothing waits behind it."""
+
+    @pytest.fixture(autouse=True)
+    def short_times(self, monkeypatch):
+        monkeypatch.setattr(store_reader, 'SLOW_CALL_S', 0.01)
+        monkeypatch.setattr(store_reader, 'TRANSFER_CHECK_S', 0.01)
+
+    def make_store(self):
+        entries = {'s2': make_registration('s2', draining=True)}
+        apart = configuration.Changes(7, None, entries)
+        return ArrivingStore([snapshot(3)], apart)
+
+    # Guards against a large configuration that is received once more whenever
+    # its transfer takes longer than a slow call.
+    @pytest.mark.parametrize('covered', [True, False])
+    def test_it_is_not_asked_for_again(self, clock, covered):
+        store = self.make_store()
+        reader, fetches = read_with(
+            store, clock, lambda r: r.handle_peer_revision(7), covered
+        )
+        assert store.watched == [3]
+        assert fetches == []
+
+    def test_registrations_do_not_wait_for_it(self, clock):
+        store = self.make_store()
+        reader, _ = read_with(
+            store, clock, lambda r: r.handle_peer_revision(7)
+        )
+        assert reader.state.directory.servers['s2'].registration.draining
+        assert reader.state.revision == 3
+
+    # Guards against a version that is received in full after a newer one.
+    @pytest.mark.parametrize('covered', [True, False])
+    def test_it_is_given_up_for_a_newer_version(self, clock, covered):
+        async def deliver(reader):
+            await asyncio.sleep(0.03)
+            reader.state.apply_transfer(
+                make_configuration(revision=8),
+                configuration.RegistrationDelta(3, 8, {}),
+                source='peer',
+                confirmed_ago_s=0.0,
+            )
+
+        def act(reader):
+            reader.handle_peer_revision(7)
+            reader.task = asyncio.ensure_future(deliver(reader))
+
+        store = self.make_store()
+        reader, _ = read_with(store, clock, act, covered)
+        assert reader.state.configuration.revision == 8
+        assert 8 in store.watched or covered
+
+
 class LosingStore(ScriptedStore):
     """Store whose calls time out where the script has None."""
 
--- a/libs/citronshelf_instance/tests/virtual_fleet.py
+++ b/libs/citronshelf_instance/tests/virtual_fleet.py
@@ -41,6 +41,9 @@
             )
         )
 
+    def is_receiving(self):
+        return False
+
 
 class SlowNetwork:
     """Connections take ``CONNECT_S``, messages ``DELIVERY_S``.
@@ -287,6 +290,9 @@
             wait_s, lambda: self.store.changes(after), after
         )
 
+    def is_receiving(self):
+        return False
+
     async def call(self, wait_s, respond, after=None):
         """Return the response, or a fault after the timeout of the call."""
         self.calls += 1
