--- a/libs/citronshelf_instance/citronshelf_instance/quota_exchange.py
+++ b/libs/citronshelf_instance/citronshelf_instance/quota_exchange.py
@@ -16,6 +16,8 @@
 from citronshelf_instance import peer_messages
 from citronshelf_instance import published
 from citronshelf_instance import quota
+from citronshelf_instance import quota_coordinator
+from citronshelf_instance import quota_ledger
 
 LOG = logging.getLogger(__name__)
 
@@ -114,14 +116,14 @@
     def make_books(self) -> None:
         """Start without tokens, as an instance and as a coordinator."""
         settings = self.settings or quota.QuotaSettings(1.0, 0.0, 0.0)
-        self.ledger = quota.Ledger(
+        self.ledger = quota_ledger.Ledger(
             key=self.key,
             settings=settings,
             limits=self.limits,
             fleet=self.fleet,
             rng=self.rng,
         )
-        self.coordinator = quota.Coordinator(
+        self.coordinator = quota_coordinator.Coordinator(
             key=self.key,
             settings=settings,
             limits=self.limits,
--- a/libs/citronshelf_instance/tests/test_quota.py
+++ b/libs/citronshelf_instance/tests/test_quota.py
@@ -5,6 +5,8 @@
 import pytest
 
 from citronshelf_instance import quota
+from citronshelf_instance import quota_coordinator
+from citronshelf_instance import quota_ledger
 
 SETTINGS = quota.QuotaSettings(5.0, 0.25, 20.0)
 LIMIT = quota.Limit(10.0, 5.0)
@@ -27,14 +29,14 @@
     def __init__(self, clock, count=1, known=None, limit=LIMIT):
         self.clock = clock
         size = quota.Fleet(known or count, True)
-        self.coordinator = quota.Coordinator(
+        self.coordinator = quota_coordinator.Coordinator(
             key=OWN,
             settings=SETTINGS,
             limits={'a': limit},
             fleet=lambda: size,
         )
         self.ledgers = [
-            quota.Ledger(
+            quota_ledger.Ledger(
                 key=OTHER,
                 settings=SETTINGS,
                 limits={'a': limit},
@@ -253,7 +255,7 @@
 
     def test_equal_shares_add_up_to_the_rate(self, clock):
         shares = [
-            quota.EqualShare(rng=random.Random(number), now=clock())
+            quota_ledger.EqualShare(rng=random.Random(number), now=clock())
             for number in range(100)
         ]
         admitted = 0
@@ -269,7 +271,7 @@
     @pytest.mark.parametrize('rate', [0.05, 1.0, 40.0])
     def test_equal_shares_do_not_pile_up(self, clock, rate):
         shares = [
-            quota.EqualShare(rng=random.Random(number), now=clock())
+            quota_ledger.EqualShare(rng=random.Random(number), now=clock())
             for number in range(200)
         ]
         clock.advance(1000.0)
@@ -278,11 +280,11 @@
             share.refill(rate, clock())
             while share.try_spend():
                 admitted += 1
-        expected = 200 * rate * quota.SHARE_LIFE_S
+        expected = 200 * rate * quota_ledger.SHARE_LIFE_S
         assert admitted <= expected + 4 * expected**0.5
 
     def test_isolated_instance_is_no_coordinator_of_its_own(self, clock):
-        ledger = quota.Ledger(
+        ledger = quota_ledger.Ledger(
             key=OWN,
             settings=SETTINGS,
             limits={'a': quota.Limit(2400.0, 0.0)},
@@ -326,7 +328,7 @@
         pair.wait()
         pair.settle()
         assert pair.bucket().lent > 0
-        pair.settle(quota.IDLE_S + 1.0)
+        pair.settle(quota_ledger.IDLE_S + 1.0)
         assert pair.bucket().lent == 0
 
 
--- a/libs/citronshelf_instance/tests/test_quota_histories.py
+++ b/libs/citronshelf_instance/tests/test_quota_histories.py
@@ -13,6 +13,8 @@
 import pytest
 
 from citronshelf_instance import quota
+from citronshelf_instance import quota_coordinator
+from citronshelf_instance import quota_ledger
 import quota_model
 
 NUMBERS = strategies.integers(0, quota_model.FUZZED_INSTANCES - 1)
@@ -95,13 +97,13 @@
 def grant_to_all(monkeypatch):
     """Coordinators ignore that instances without contact admit shares."""
     monkeypatch.setattr(
-        quota.Coordinator, 'fraction', lambda self, account: 1.0
+        quota_coordinator.Coordinator, 'fraction', lambda self, account: 1.0
     )
 
 
 def start_full(monkeypatch):
     """New buckets are full as soon as most instances are in contact."""
-    refill = quota.SharedBucket.refill
+    refill = quota_coordinator.SharedBucket.refill
 
     def refill_at_first(self, limit, capacity, fraction, now):
         refill(self, limit, capacity, fraction, now)
@@ -109,24 +111,26 @@
             self.was_full = True
             self.level = capacity
 
-    monkeypatch.setattr(quota.SharedBucket, 'refill', refill_at_first)
+    monkeypatch.setattr(
+        quota_coordinator.SharedBucket, 'refill', refill_at_first
+    )
 
 
 def lend_twice(monkeypatch):
     """Lent tokens don't count against the capacity."""
-    lend = quota.SharedBucket.lend
+    lend = quota_coordinator.SharedBucket.lend
 
     def lend_uncounted(self, tokens):
         lent = lend(self, tokens)
         self.lent -= lent
         return lent
 
-    monkeypatch.setattr(quota.SharedBucket, 'lend', lend_uncounted)
+    monkeypatch.setattr(quota_coordinator.SharedBucket, 'lend', lend_uncounted)
 
 
 def keep_shares(monkeypatch):
     """Tokens of equal shares never expire."""
-    monkeypatch.setattr(quota, 'SHARE_LIFE_S', 1000.0)
+    monkeypatch.setattr(quota_ledger, 'SHARE_LIFE_S', 1000.0)
 
 
 def divide_by_few(monkeypatch):
@@ -137,7 +141,7 @@
 def keep_lower_tokens(monkeypatch):
     """Instances keep their tokens when a limit is lowered."""
     monkeypatch.setattr(
-        quota.Ledger, 'return_tokens', lambda self, account: None
+        quota_ledger.Ledger, 'return_tokens', lambda self, account: None
     )
 
 
--- a/measures/quota_model.py
+++ b/measures/quota_model.py
@@ -18,7 +18,9 @@
 
 from citronshelf_instance import peer_messages
 from citronshelf_instance import quota
+from citronshelf_instance import quota_coordinator
 from citronshelf_instance import quota_exchange
+from citronshelf_instance import quota_ledger
 
 SETTINGS = quota.QuotaSettings(5.0, 0.25, 20.0)
 ZONE_DELAY_S = 0.0005
@@ -62,13 +64,13 @@
         self.is_alive = True
         self.frozen_until_s = float('-inf')
         rng = random.Random(fleet.rng.random())
-        self.coordinator = quota.Coordinator(
+        self.coordinator = quota_coordinator.Coordinator(
             key=self.key,
             settings=fleet.settings,
             limits=fleet.limits,
             fleet=self.size,
         )
-        self.ledger = quota.Ledger(
+        self.ledger = quota_ledger.Ledger(
             key=self.key,
             settings=fleet.settings,
             limits=fleet.limits,
