admission: removed settings end an overload

Cause: when operators removed the table [admission] during an overload, the usual times of routes kept following long responses at a tenth of their weight. Change: without settings all overloads are forgotten. Before: the state stayed until the next request with the table. After: the new test passes.

--- a/libs/citronshelf_instance/citronshelf_instance/admission.py
+++ b/libs/citronshelf_instance/citronshelf_instance/admission.py
@@ -238,6 +238,14 @@
         self.rng = rng
         self.by_service: dict[str, ServiceAdmission] = {}
 
+    def set_settings(self, settings: AdmissionSettings | None) -> None:
+        """Use other settings; without any, forget all overloads."""
+        self.settings = settings
+        if settings is None:
+            self.by_service.clear()
+            for usage in self.placer.usage.values():
+                usage.is_queued = False
+
     def check(
         self,
         request: caller_request.CallerRequest,
--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -483,7 +483,7 @@
         seeds = self.table['peers']['seeds']
         self.peers.set_seeds([parse_address(text) for text in seeds])
         self.budgets.set_settings(make_budget_settings(self.table))
-        self.admission.settings = make_admission_settings(self.table)
+        self.admission.set_settings(make_admission_settings(self.table))
         self.forwarder.max_resends = max_resends(self.table)
         self.quotas.set_settings(make_quota_settings(self.table))
         self.forwarder.placer.distances = make_distance_costs(self.table)
--- a/libs/citronshelf_instance/tests/test_admission.py
+++ b/libs/citronshelf_instance/tests/test_admission.py
@@ -99,6 +99,23 @@
         assert set(refusals['pay'] + refusals['amend']) == {None}
 
 
+class TestReload:
+    """Load: a burst, during which operators remove the settings.
+
+    Guards against usual times that follow long responses too slowly for ever.
+    """
+
+    def test_removed_settings_end_the_overload(self, clock):
+        site = Site(clock)
+        site.run(8, 10.0)
+        assert any(usage.is_queued for usage in site.placer.usage.values())
+        site.admission.set_settings(None)
+        usages = site.placer.usage.values()
+        assert not any(usage.is_queued for usage in usages)
+        site.admission.set_settings(SETTINGS)
+        assert site.check(OTHER) is None
+
+
 class TestClasses:
     """The least urgent class is refused first, and gradually.
 
