--- a/libs/citronshelf_instance/tests/test_configuration_exchange.py
+++ b/libs/citronshelf_instance/tests/test_configuration_exchange.py
@@ -247,6 +247,73 @@
         assert run_region(scenario, 4) == 1
 
 
+class TestSeries:
+    """Versions that are announced faster than they arrive."""
+
+    def notice(self, region, revision):
+        sender = region.processes[1].peers.own
+        return peer_messages.ConfigurationNotice(sender, revision)
+
+    def test_wait_does_not_begin_anew_with_each_version(self):
+        """Guards against a wait that lasts as long as versions come."""
+
+        async def scenario(region):
+            exchange = region.processes[0].peers.configurations
+            exchange.request = lambda target, known_revision: None
+            began_s = region.loop.time()
+            for revision in range(100, 130):
+                exchange.receive_notice(self.notice(region, revision), None)
+                await asyncio.sleep(0.1)
+                if not exchange.is_expecting():
+                    break
+            return region.loop.time() - began_s
+
+        limit_s = configuration_exchange.EXPECTED_S + 0.1
+        assert run_region(scenario, 4) <= limit_s + 0.01
+
+    def test_requests_are_sent_while_newer_versions_are_announced(self):
+        """Guards against notices that cancel the requests each time."""
+
+        async def scenario(region):
+            exchange = region.processes[0].peers.configurations
+            for revision in range(100, 110):
+                exchange.receive_notice(
+                    self.notice(region, revision),
+                    region.processes[1].peers.own.address,
+                )
+                await asyncio.sleep(0.1)
+            return exchange.requests
+
+        assert run_region(scenario, 4) >= 2
+
+    def test_relay_without_the_base_passes_on_what_it_applied(self):
+        """Guards against a region that asks those who lack it as well.
+
+        A difference was passed on by instances that could not apply it.
+        Those behind them asked them for a copy, which they did not have.
+        """
+
+        async def scenario(region):
+            relay, target, sender = region.processes[:3]
+            newest = make_configuration(*NEXT_ROUTES, revision=9)
+            base = make_configuration(*ROUTES, revision=8)
+            sender.state.apply_configuration(newest, 'test')
+            exchange = sender.peers.configurations
+            exchange.prepare(base, newest)
+            keys = (peer_messages.member_key(target.peers.own),)
+            head = exchange.difference.head._replace(targets=keys)
+            relay.peers.configurations.receive(
+                exchange.difference._replace(head=head),
+                sender.peers.own.address,
+            )
+            await asyncio.sleep(0.1)
+            return [
+                one.state.configuration == newest for one in (relay, target)
+            ]
+
+        assert run_region(scenario, 4) == [True, True]
+
+
 class TestWaiting:
     """How long a missing version is expected from other instances."""
 
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -427,6 +427,33 @@
         assert reader.reports == [None, None]
 
 
+class TestResponseAge:
+    """How old the state in a response may be."""
+
+    def test_time_on_the_way_counts(self, clock):
+        """Guards against slow responses that count as the newest state.
+
+        A watch that ended at once because of a change, and whose response
+        took a second, was taken for an answer of that moment.
+        """
+
+        class SlowStore(ScriptedStore):
+            async def watch(self, after, wait_s):
+                result = await super().watch(after, wait_s)
+                clock.advance(0.9)
+                return result
+
+        change = Ok(configuration.Changes(5, None, {'s2': None}))
+        store = SlowStore([snapshot(3)], [change])
+
+        def reader_ages(reader):
+            ages.append(reader.state.age_s())
+
+        ages = []
+        read_with(store, clock, reader_ages)
+        assert ages[0] >= 0.9
+
+
 class TestSlowCall:
     """A call that only catches up is repeated once if it is slow."""
 
--- a/libs/citronshelf_instance/tests/virtual_fleet.py
+++ b/libs/citronshelf_instance/tests/virtual_fleet.py
@@ -57,6 +57,10 @@
         self.sent = []
         self.silent_until_s = float('-inf')
 
+    def delivery_s(self, source, target, size):
+        """Return the time of a message of ``size`` bytes on its way."""
+        return DELIVERY_S
+
 
 class SlowLinks:
     """Links of one instance on a ``SlowNetwork``."""
@@ -87,7 +91,8 @@
         if loop.time() < self.network.silent_until_s:
             return True
         source = self.address if is_reply else ('reply', self.address)
-        loop.call_later(DELIVERY_S, end.on_message, source, data)
+        delivery_s = self.network.delivery_s(self.address, address, len(data))
+        loop.call_later(delivery_s, end.on_message, source, data)
         return True
 
 
