configuration exchange: the wait for a version counts from its announcement

Callers saw: requests handled by versions from before the bound, while a version came each 0.15 s.

Cause: an instance that lacks an announced version asks others for it after 0.3 and 0.5 s and the store after 0.7 s. Each newer announcement cancelled the requests and moved the time from which the wait counts, so in a series neither fell due; only the age of the list ended the wait.

Evidence: test_wait_does_not_begin_anew_with_each_version waited 3.0 s (as long as versions came) and test_requests_are_sent_while_newer_versions_are_announced sent none in a second.

Now each announcement keeps its own time until a version as new is in force, and requests that are scheduled stay. The wait is bounded whatever the rate.

--- a/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
@@ -103,7 +103,9 @@
         self.clock = clock
         self.rng = rng
         self.announced = 0
-        self.announced_s = float('-inf')
+        # When each announced revision that is not in force was announced,
+        # oldest first.
+        self.missing_s: dict[int, float] = {}
         self.timers: list[asyncio.TimerHandle] = []
         # Newest configuration in the form in which it is sent.
         self.copy: peer_messages.ConfigurationCopy | None = None
@@ -345,8 +347,10 @@
         if message.revision <= self.announced:
             return
         self.record_announcement(message.revision)
+        if self.is_requesting():
+            return
         loop = asyncio.get_running_loop()
-        self.close()
+        self.timers.clear()
         targets = (self.send_to_zone, lambda m: self.reply(route, m))
         for delay_s, target in zip(REQUEST_TIMES_S, targets, strict=True):
             delay_s += self.rng.uniform(0, 0.05)
@@ -354,11 +358,27 @@
                 loop.call_later(delay_s, self.request_if_lacking, target)
             )
 
+    def is_requesting(self) -> bool:
+        """Return whether requests are scheduled."""
+        now = asyncio.get_running_loop().time()
+        return any(
+            not timer.cancelled() and timer.when() > now
+            for timer in self.timers
+        )
+
     def record_announcement(self, revision: int) -> None:
         """Record that other instances know a revision."""
         if revision > self.announced:
+            self.drop_known()
             self.announced = revision
-            self.announced_s = self.clock()
+            self.missing_s[revision] = self.clock()
+
+    def drop_known(self) -> None:
+        """Forget announcements of versions that have come into force."""
+        current = self.state.configuration
+        known = current.revision if current else 0
+        for revision in [r for r in self.missing_s if r <= known]:
+            del self.missing_s[revision]
 
     def lacks_announced(self) -> bool:
         """Return whether an announced version is not in force."""
@@ -366,9 +386,15 @@
         return current is None or self.announced > current.revision
 
     def is_expecting(self) -> bool:
-        """Return whether an announced version is still likely to arrive."""
-        waited_s = self.clock() - self.announced_s
-        return waited_s < EXPECTED_S and self.lacks_announced()
+        """Return whether an announced version is still likely to arrive.
+
+        The wait counts from the oldest announcement of a version that is
+        newer than the one in force, however many follow.
+        """
+        self.drop_known()
+        if not self.missing_s:
+            return False
+        return self.clock() - min(self.missing_s.values()) < EXPECTED_S
 
     def request_if_lacking(self, target) -> None:
         """Request the announced version if it has not arrived."""
