configuration exchange: an instance passes on only what it has applied

Cause: a relay passed a difference on at once, also when its base was not in force. Those behind the relay could not apply it either and asked the relay for a copy, which it had only asked for itself; it did not answer and nobody asked again.

Now the difference is applied first. If its base is missing, the members behind are kept until the copy has come, and get the copy. So whoever sends a version has it, and a request to the sender is answered.

--- a/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
@@ -107,6 +107,9 @@
         # oldest first.
         self.missing_s: dict[int, float] = {}
         self.timers: list[asyncio.TimerHandle] = []
+        # Members that wait for a version which this instance lacks the base
+        # for.
+        self.waiting: set[int] = set()
         # Newest configuration in the form in which it is sent.
         self.copy: peer_messages.ConfigurationCopy | None = None
         self.difference: peer_messages.ConfigurationDifference | None = None
@@ -251,21 +254,39 @@
             )
 
     def receive(self, message: Transfer, route) -> None:
-        """Pass a version on, and apply it if it is newer."""
+        """Apply a version if it is newer, and pass it on.
+
+        A difference whose base is not in force is passed on when the copy
+        that replaces it has come, so that each sender has what it sends.
+        """
         head = message.head
-        if head.targets:
-            self.pass_on(message, self.find(head.targets))
+        targets = set(head.targets)
         if head.for_region and head.revision > self.announced:
-            members = self.readers.members.in_region()
-            self.pass_on(message, sorted(members, key=place_key))
+            targets.update(
+                peer_messages.member_key(peer.member)
+                for peer in self.readers.members.in_region()
+            )
         self.record_announcement(head.revision)
         current = self.state.configuration
-        if current is not None and head.revision <= current.revision:
-            return
+        if current is None or head.revision > current.revision:
+            if not self.apply_newer(message, route):
+                self.waiting |= targets
+                return
+            targets |= self.waiting
+            self.waiting.clear()
+        if targets:
+            self.pass_on(message, self.find(targets))
+
+    def apply_newer(self, message: Transfer, route) -> bool:
+        """Apply a newer version; request a copy if its base is missing.
+
+        Returns False if it could not be applied.
+        """
+        head = message.head
         unpacked = self.unpack(message)
         if unpacked is None:
             self.request(lambda request: self.reply(route, request), 0)
-            return
+            return False
         reason = self.refusal(unpacked, head)
         if reason:
             log_events.log_event(
@@ -277,8 +298,9 @@
             )
             if isinstance(message, peer_messages.ConfigurationDifference):
                 self.request(lambda request: self.reply(route, request), 0)
-            return
+            return False
         self.apply(message, unpacked.ok)
+        return True
 
     def unpack(self, message: Transfer) -> Result | None:
         """Return the result of unpacking; None without the base for it."""
@@ -330,13 +352,12 @@
             base=getattr(message, 'base', 0),
         )
 
-    def find(self, keys: Sequence[int]) -> list[membership.KnownMember]:
+    def find(self, keys: set[int]) -> list[membership.KnownMember]:
         """Return the members of this region with given keys, by place."""
-        wanted = set(keys)
         found = [
             peer
             for peer in self.readers.members.in_region()
-            if peer_messages.member_key(peer.member) in wanted
+            if peer_messages.member_key(peer.member) in keys
         ]
         return sorted(found, key=place_key)
 
