store reader: the time of a response on its way counts into its age

Callers saw: nothing by itself; the bound on the age, from which an instance asks the store, did not hold for instances whose responses were slow.

Cause: the response of a watch that ended because of a change counted as the newest state at the time of its last byte, although it may have taken a second over a busy link. The pause after a change came on top.

Now a response with changes is at most as old as its call. That overstates the age by the wait of the store: a confirmation by another instance, which is younger, is kept, and the first reader, whose wait is 1.0 s, calls again a little earlier.

--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -290,14 +290,15 @@
     def response_age_s(
         self, began_s: float, wait_s: float, changes: configuration.Changes
     ) -> float:
-        """Return how long ago the state in a response was the newest.
+        """Return how long ago, at most, the state in a response was newest.
 
-        The store answers a watch as soon as something changes, or when its
-        wait has ended; a call without a wait, at any time until the response.
+        If nothing changed, the store answered after its wait. A response with
+        changes may have been on its way since the call began: a busy link
+        delays its first byte as well as its last.
         """
         elapsed_s = self.clock() - began_s
-        if wait_s > 0 and not changes.is_empty():
-            return 0.0
+        if not changes.is_empty():
+            return elapsed_s
         return max(0.0, elapsed_s - wait_s)
 
     async def call_watch(self, after: int, wait_s: float) -> Result | None:
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -440,7 +440,7 @@
         class SlowStore(ScriptedStore):
             async def watch(self, after, wait_s):
                 result = await super().watch(after, wait_s)
-                clock.advance(0.9)
+                clock.advance(1.0)
                 return result
 
         change = Ok(configuration.Changes(5, None, {'s2': None}))
@@ -451,7 +451,7 @@
 
         ages = []
         read_with(store, clock, reader_ages)
-        assert ages[0] >= 0.9
+        assert ages[0] >= 1.0
 
 
 class TestSlowCall:
