store reader: only the newest of several versions is read

Callers saw: while versions came each 0.15 s, the instances of the region far from the store all served a version from before the bound (CONFIG; one region falls behind together).

Cause: a watch returns each version since the revision asked for. After the readers' pause of 1.2 s that is eight, and more the later an instance is, so an instance that was behind asked for more bytes than one that was not. With 330 routes (90 KB) the far instances filled the 30 Mbit/s between the regions; connections to the store then took over a second, calls ended without a response, and the instances backed off from a store that was well.

Now a call without a wait reads the newest configuration alone, beside the changed registrations, when a newer one is announced or the configuration in force was replaced so recently that several may be missing. What is read no longer depends on the rate of versions or on how far behind the reader is. It takes two calls; the second is not made while the store does not respond.

Ruled out: an abandoned call that counts as an outage.

--- a/libs/citronshelf_instance/citronshelf_instance/daemon.py
+++ b/libs/citronshelf_instance/citronshelf_instance/daemon.py
@@ -139,6 +139,7 @@
         exchange = self.peers.configurations
         self.reader.share_configuration = exchange.share
         self.reader.expects_configuration = exchange.is_expecting
+        self.reader.lacks_announced = exchange.lacks_announced
         exchange.on_applied = self.reader.end_superseded_watch
         self.budgets = retry_budget.RetryBudgets(
             settings=make_budget_settings(table), clock=clock, rng=self.rng
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -42,6 +42,10 @@
         No change is known after this revision and up to ``revision``.
     unread_revision : int
         Revision of the newest configuration that could not be read.
+    changed_s : float
+        When a configuration or registrations last changed after the start.
+    configured_s : float
+        When the configuration in force replaced another one.
     limits : CallerLimits or None
         Limits in force; None before the first configuration.
     accounts : AccountTable
@@ -62,6 +66,8 @@
         self.change_revision = 0
         self.unchanged_since = 0
         self.unread_revision = 0
+        self.changed_s = float('-inf')
+        self.configured_s = float('-inf')
         self.configuration: configuration.Configuration | None = None
         self.routes: routing.RouteTable | None = None
         self.limits: configuration.CallerLimits | None = None
@@ -106,8 +112,13 @@
     def apply(
         self, changes: configuration.Changes, confirmed_ago_s: float = 0.0
     ) -> None:
-        """Apply changes unless their revision is older than the known one."""
+        """Apply changes unless their revision is older than the known one.
+
+        A configuration may be newer than that revision.
+        """
         if changes.revision < self.revision:
+            if changes.configuration is not None:
+                self.apply_configuration(changes.configuration, STORE_SOURCE)
             return
         self.revision = changes.revision
         self.directory.confirm(confirmed_ago_s)
@@ -131,6 +142,7 @@
         """
         if changes.revision >= self.directory.revision:
             self.directory.apply(changes)
+            self.changed_s = self.clock()
 
     def apply_delta(
         self,
@@ -207,6 +219,8 @@
         if current is not None and published.revision <= current.revision:
             return
         self.configuration = published
+        if current is not None:
+            self.changed_s = self.configured_s = self.clock()
         self.limits = published.limits
         self.routes = routing.RouteTable(published=published, rng=self.rng)
         self.replace_accounts(published)
@@ -247,6 +261,21 @@
         known = self.configuration.revision if self.configuration else 0
         return self.unread_revision > known
 
+    def unchanged_s(self) -> float:
+        """Return the seconds since anything changed."""
+        return self.clock() - self.changed_s
+
+    def may_lack_versions(self) -> bool:
+        """Return whether several newer configurations are likely.
+
+        So it is if the state has been confirmed for a shorter time after its
+        configuration came into force than has passed since.
+        """
+        age_s = self.age_s()
+        if age_s is None or self.configuration is None:
+            return False
+        return self.clock() - self.configured_s < 2 * age_s
+
     def age_s(self) -> float | None:
         """Return the seconds since the state was known to be the newest.
 
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -1,6 +1,7 @@
 """Reader of the store that follows published changes."""
 
 import asyncio
+from collections.abc import Coroutine
 import enum
 import logging
 import random
@@ -87,6 +88,12 @@
     async def watch_registrations(self, after: int) -> Result:
         """Return changes of registrations only, without a wait."""
 
+    async def read_newest(self, after: int) -> Result:
+        """Return changes without a wait.
+
+        Of several configurations, only the newest is transferred.
+        """
+
     def is_receiving(self) -> bool:
         """Return whether a response is arriving."""
 
@@ -141,6 +148,7 @@
         self.on_unchanged = lambda: None
         self.share_configuration = lambda before, newest, delta: None
         self.expects_configuration = lambda: False
+        self.lacks_announced = lambda: False
 
     async def run(self) -> None:
         """Follow the store, or readers of it, until cancelled."""
@@ -252,6 +260,7 @@
             self.is_reachable
             and not self.group.is_covered()
             and not self.is_behind()
+            and not self.may_lack_versions()
             and self.group.remaining_s() > 0
         )
         wait_s = self.draw_wait_s() if may_wait else 0.0
@@ -301,6 +310,22 @@
             return elapsed_s
         return max(0.0, elapsed_s - wait_s)
 
+    def may_lack_versions(self) -> bool:
+        """Return whether only the newest configuration should be read.
+
+        That is so if several may have been published since the revision that
+        is known. One that cannot be read may have a readable predecessor,
+        which only a watch returns.
+        """
+        is_likely = self.state.may_lack_versions() or self.lacks_announced()
+        return is_likely and not self.state.lacks_configuration()
+
+    def read_changes(self, after: int) -> Coroutine[None, None, Result]:
+        """Return a call to the store that reads changes without a wait."""
+        if self.may_lack_versions():
+            return self.store.read_newest(after)
+        return self.store.watch(after, 0.0)
+
     async def call_watch(self, after: int, wait_s: float) -> Result | None:
         """Call the store for changes.
 
@@ -312,7 +337,12 @@
         """
         if wait_s == 0.0 and self.is_reachable:
             return await self.call_again_if_slow(after)
-        watching = asyncio.ensure_future(self.store.watch(after, wait_s))
+        call = (
+            self.store.watch(after, wait_s)
+            if wait_s > 0
+            else self.read_changes(after)
+        )
+        watching = asyncio.ensure_future(call)
         waiters = {watching}
         if wait_s > 0:
             self.superseded.clear()
@@ -367,7 +397,7 @@
         Returns the first success, or the result of the last call to end. None
         if another instance sent a newer state while a response arrived.
         """
-        calls = {asyncio.ensure_future(self.store.watch(after, 0.0))}
+        calls = {asyncio.ensure_future(self.read_changes(after))}
         try:
             done, _ = await asyncio.wait(calls, timeout=SLOW_CALL_S)
             if not done:
@@ -379,7 +409,7 @@
             if not done:
                 self.fetch_from_peers()
                 self.calls += 1
-                again = self.store.watch(after, 0.0)
+                again = self.read_changes(after)
                 calls.add(asyncio.ensure_future(again))
             pending = set(calls)
             while pending:
--- a/libs/citronshelf_instance/tests/linked_fleet.py
+++ b/libs/citronshelf_instance/tests/linked_fleet.py
@@ -148,6 +148,17 @@
         )
         return await self.respond(Ok(changes), len(versions), len(changed))
 
+    async def read_newest(self, after):
+        changed = await self.watch_registrations(after)
+        if changed.is_error():
+            return changed
+        newest = self.store.versions[-1]
+        if newest.revision <= after:
+            newest = None
+        return await self.respond(
+            Ok(changed.ok._replace(configuration=newest)), 1, 0
+        )
+
     async def watch_registrations(self, after):
         changed = self.changed_registrations(after)
         changes = configuration.Changes(self.store.revision, None, changed)
--- a/libs/citronshelf_instance/tests/virtual_fleet.py
+++ b/libs/citronshelf_instance/tests/virtual_fleet.py
@@ -145,6 +145,7 @@
         exchange = self.peers.configurations
         self.reader.share_configuration = exchange.share
         self.reader.expects_configuration = exchange.is_expecting
+        self.reader.lacks_announced = exchange.lacks_announced
         exchange.on_applied = self.reader.end_superseded_watch
 
     def start(self):
@@ -295,6 +296,9 @@
             wait_s, lambda: self.store.changes(after), after
         )
 
+    async def read_newest(self, after):
+        return await self.watch(after, 0.0)
+
     def is_receiving(self):
         return False
 
