readers: one instance follows a series of changes for its region

Cause: a change ends the watches of all readers together, and each then paused for 1.2 s, so the region learned nothing in that time and all read at once after it. An instance that knew of a missing change called the store after 0.2 to 0.4 s unless it had caught up with what was the newest by then, which in a series it never has.

Now the first reader calls again when its list is 0.4 s old (0.8 s if another instance sent it the newest version, as that one follows the series), and passes a version on to its whole region. The others leave the store to it until nothing has changed for 1.2 s or their list is too old, so a reader that fails is replaced as before. A follower waits for the revision that it missed, for 0.6 to 1.2 s; the limit on the age of its list holds all the time.

--- a/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
@@ -125,12 +125,14 @@
         before: configuration.Configuration | None,
         newest: configuration.Configuration,
         delta: configuration.RegistrationDelta | None,
+        is_alone: bool,
     ) -> None:
         """Pass on a configuration that this instance read from the store.
 
-        A reader does so for its share of the region. Another instance, which
-        happened to poll the store first, for the whole region unless the
-        version has been announced.
+        A reader does so for its share of the region, since the others read
+        the version at the same time. An instance that was alone, or that is
+        not a reader, does so for the whole region unless the version has been
+        announced.
 
         Parameters
         ----------
@@ -139,11 +141,14 @@
         newest : Configuration
         delta : RegistrationDelta or None
             Registrations that changed with it; None if unknown.
+        is_alone : bool
+            Whether the other readers left the store to this one.
         """
         if newest is not self.state.configuration:
             return
         is_new = newest.revision > self.announced
-        if not (is_new or self.readers.is_reader()):
+        shares = self.readers.is_reader() and not is_alone
+        if not (is_new or shares):
             return
         self.record_announcement(newest.revision)
         self.delta = delta
@@ -152,7 +157,13 @@
         if is_new:
             self.send_to_other_regions(transfer)
             self.announce(self.readers.members.in_region())
-        self.pass_on(transfer, self.share_of_region())
+        members = self.readers.members.in_region()
+        self.pass_on(
+            transfer,
+            self.share_of_region()
+            if shares
+            else sorted(members, key=place_key),
+        )
 
     def announce(self, receivers: Iterable[membership.KnownMember]) -> None:
         """Announce the configuration in force to some instances."""
@@ -209,14 +220,12 @@
         )
 
     def share_of_region(self) -> list[membership.KnownMember]:
-        """Return the members to which this instance passes a version on.
+        """Return the members to which this reader passes a version on.
 
         Neighbours in the list are of the same zone, so that few transfers
         cross zones.
         """
         members = self.readers.members.in_region()
-        if not self.readers.is_reader():
-            return sorted(members, key=place_key)
         readers = {peer.member.instance for peer in self.readers.others()}
         others = [m for m in members if m.member.instance not in readers]
         others.sort(key=place_key)
--- a/libs/citronshelf_instance/citronshelf_instance/reader_group.py
+++ b/libs/citronshelf_instance/citronshelf_instance/reader_group.py
@@ -23,6 +23,16 @@
 # A smaller region makes fewer: each follower polls as rarely as if the region
 # had this many instances.
 MIN_POLLING_INSTANCES = 16
+# While changes come in quick succession, the first reader of a region reads
+# the store when its list is this old, or as old as the second time if another
+# instance sent it the newest version and is likely to send the next one too.
+SERIES_INTERVAL_S = 0.4
+STANDBY_INTERVAL_S = 0.8
+# The others do so until nothing has changed for this time, or until their list
+# is too old.
+PAUSE_AFTER_CHANGE_S = 1.2
+# Time by which they may have learned of the last change later.
+PAUSE_MARGIN_S = 0.4
 # A shorter time than this counts as none: no timer could wait for it.
 MIN_REMAINING_S = 0.001
 
@@ -67,6 +77,35 @@
         """Return whether this instance confirms the list for its region."""
         return self.rank() == 0
 
+    def pause_s(self, *, unchanged_s: float, has_read: bool) -> float:
+        """Return how much longer this reader leaves the store alone.
+
+        Parameters
+        ----------
+        unchanged_s : float
+            Seconds since anything changed.
+        has_read : bool
+            Whether this instance itself read the configuration in force.
+            Otherwise another one follows the changes for it.
+        """
+        remaining_s = self.remaining_s()
+        if unchanged_s >= PAUSE_AFTER_CHANGE_S or remaining_s == 0:
+            return 0.0
+        if not self.is_confirming():
+            return min(remaining_s, PAUSE_AFTER_CHANGE_S - unchanged_s)
+        interval_s = SERIES_INTERVAL_S if has_read else STANDBY_INTERVAL_S
+        return max(0.0, interval_s - self.list_age_s())
+
+    def is_alone(self, unchanged_s: float) -> bool:
+        """Return whether the other readers left a change to this instance.
+
+        Parameters
+        ----------
+        unchanged_s : float
+            Seconds between the change before and the response with this one.
+        """
+        return unchanged_s < PAUSE_AFTER_CHANGE_S + PAUSE_MARGIN_S
+
     def rank(self) -> int:
         """Return how many instances of the region precede this one."""
         own = rank_key(self.members.own.instance)
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -18,11 +18,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# A change is in force after at most one pause and one round trip, which is
-# within half of the 2.5 s that the platform allows. When servers start one
-# after another, one watch returns all the registrations that were made during
-# a pause.
-PAUSE_AFTER_CHANGE_S = 1.2
 # Readers of a region wait this long for changes, except the first one. A
 # longer wait costs fewer calls. It delays no change, since the list is
 # confirmed more often by the first reader, and a watch that its readers outrun
@@ -34,6 +29,9 @@
 # A watch is restarted if it has not returned a revision that another instance
 # knows within one to two times this delay.
 OUTDATED_DELAY_S = 0.2
+# An instance that follows readers leaves a missing change to them for so many
+# of these delays, in which the first reader calls the store at least once.
+OUTDATED_CHECKS = 3
 # A full read usually takes a tenth of this. If one takes longer, the state is
 # requested from a peer meanwhile.
 SLOW_READ_S = 0.3
@@ -146,7 +144,9 @@
         self.peer_revision = 0
         self.calls = 0
         self.on_unchanged = lambda: None
-        self.share_configuration = lambda before, newest, delta: None
+        # Revision of the newest configuration that this instance itself read.
+        self.read_revision = 0
+        self.share_configuration = lambda before, newest, delta, is_alone: None
         self.expects_configuration = lambda: False
         self.lacks_announced = lambda: False
 
@@ -177,6 +177,7 @@
             else:
                 if self.is_reachable:
                     await self.follow_readers()
+                    await self.pause_in_series()
                 await self.watch()
             self.state.directory.drop_lapsed()
 
@@ -220,14 +221,43 @@
             + self.group.poll_interval_s() * self.rng.uniform(0.5, 1.5)
         )
         while self.group.is_covered() and self.clock() < poll_at_s:
-            if self.is_behind():
-                await asyncio.sleep(OUTDATED_DELAY_S * self.rng.uniform(1, 2))
-                if self.is_behind() and not self.expects_configuration():
-                    return
+            if self.is_behind() and not await self.catch_up():
+                return
             self.state.directory.drop_lapsed()
             self.outdated.clear()
             await self.wait_announcement(FOLLOW_INTERVAL_S)
 
+    async def catch_up(self) -> bool:
+        """Wait until readers report a change that another instance knows.
+
+        Returns False if a call to the store is due.
+        """
+        missing = self.peer_revision
+        for _ in range(OUTDATED_CHECKS):
+            await asyncio.sleep(OUTDATED_DELAY_S * self.rng.uniform(1, 2))
+            if self.state.revision >= missing:
+                return True
+            if not self.group.is_covered():
+                return False
+        return self.expects_configuration()
+
+    async def pause_in_series(self) -> None:
+        """Wait while changes come in quick succession.
+
+        The first reader then reads them at an interval. The other readers
+        rely on it until their list is too old.
+        """
+        while (pause_s := self.pause_s()) >= reader_group.MIN_REMAINING_S:
+            await asyncio.sleep(min(pause_s, FOLLOW_INTERVAL_S))
+
+    def pause_s(self) -> float:
+        """Return how much longer this reader leaves the store alone."""
+        newest = self.state.configuration
+        return self.group.pause_s(
+            unchanged_s=self.state.unchanged_s(),
+            has_read=newest is None or newest.revision <= self.read_revision,
+        )
+
     async def wait_announcement(self, wait_s: float) -> bool:
         """Wait until a peer announces a newer change.
 
@@ -245,10 +275,7 @@
         return self.peer_revision > self.state.revision
 
     async def watch(self) -> None:
-        """Wait for changes once and apply them.
-
-        After a change, the reader pauses for ``PAUSE_AFTER_CHANGE_S``.
-        """
+        """Wait for changes once and apply them."""
         self.calls += 1
         # Before the test of is_behind, so that no announcement is missed.
         self.outdated.clear()
@@ -277,6 +304,7 @@
         self.record_response()
         after = min(after, self.state.unchanged_since)
         before = self.state.configuration
+        unchanged_s = self.state.unchanged_s()
         response_age_s = self.response_age_s(began_s, wait_s, changed.ok)
         self.state.apply(changed.ok, response_age_s)
         self.tried_revision = max(
@@ -284,13 +312,14 @@
         )
         if not changed.ok.is_empty():
             if changed.ok.configuration is not None:
+                self.read_revision = changed.ok.configuration.revision
                 self.share_configuration(
                     before,
                     changed.ok.configuration,
                     make_registration_delta(after, changed.ok),
+                    self.group.is_alone(unchanged_s),
                 )
             self.send_report(make_delta(after, changed.ok))
-            await asyncio.sleep(PAUSE_AFTER_CHANGE_S)
             return
         self.on_unchanged()
         if self.is_behind():
--- a/libs/citronshelf_instance/tests/linked_fleet.py
+++ b/libs/citronshelf_instance/tests/linked_fleet.py
@@ -259,6 +259,12 @@
             links.disconnect(virtual_fleet.address(number))
         await process.stop()
 
+    def count_calls(self):
+        """Return the calls to the store of the running processes."""
+        return sum(
+            process.reader.store.calls for process in self.processes.values()
+        )
+
     def oldest_s(self, running_s):
         """Return the age of the most outdated version that is in force.
 
--- a/libs/citronshelf_instance/tests/test_configuration_exchange.py
+++ b/libs/citronshelf_instance/tests/test_configuration_exchange.py
@@ -6,7 +6,7 @@
 
 from citronshelf_instance import configuration_exchange
 from citronshelf_instance import peer_messages
-from citronshelf_instance import store_reader
+from citronshelf_instance import reader_group
 from instance_builders import make_configuration
 from instance_builders import make_registration
 from instance_builders import make_route
@@ -319,6 +319,6 @@
 
     def test_wait_ends_before_the_bound(self):
         expected_s = configuration_exchange.EXPECTED_S
-        pause_s = store_reader.PAUSE_AFTER_CHANGE_S
+        pause_s = reader_group.PAUSE_AFTER_CHANGE_S
         assert pause_s + expected_s + 0.4 <= APPLY_S
         assert max(configuration_exchange.REQUEST_TIMES_S) < expected_s
--- a/libs/citronshelf_instance/tests/test_configuration_storm.py
+++ b/libs/citronshelf_instance/tests/test_configuration_storm.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from citronshelf_instance import reader_group
 import linked_fleet
 import virtual_fleet
 
@@ -35,9 +36,10 @@
         self.restarts = restarts
         self.rng = random.Random(1)
         self.oldest_s = 0.0
+        self.calls = 0
 
     async def run(self):
-        """Return the age of the oldest version that was in force."""
+        """Play the storm; record the age of the oldest version in force."""
         steps = [
             asyncio.create_task(self.publish()),
             asyncio.create_task(self.register()),
@@ -45,12 +47,13 @@
         if self.restarts:
             steps.append(asyncio.create_task(self.restart()))
         end_s = self.fleet.loop.time() + STORM_S
+        calls = self.fleet.count_calls()
         while self.fleet.loop.time() < end_s:
             await asyncio.sleep(STEP_S)
             self.oldest_s = max(self.oldest_s, self.fleet.oldest_s(RUNNING_S))
         for step in steps:
             step.cancel()
-        return self.oldest_s
+        self.calls = self.fleet.count_calls() - calls
 
     async def publish(self):
         while True:
@@ -72,16 +75,23 @@
 
 def oldest_in_storm(version_bytes, **options):
     """Return the age of the oldest version in force in a storm."""
+    return play(version_bytes, **options).oldest_s
+
+
+def play(version_bytes, **options):
+    """Play a storm in a fleet of two regions and return it."""
 
     async def run():
         fleet = linked_fleet.Fleet(
             near=20, far=16, version_bytes=version_bytes
         )
         await asyncio.sleep(SETTLING_S)
+        storm = Storm(fleet=fleet, **options)
         try:
-            return await Storm(fleet=fleet, **options).run()
+            await storm.run()
         finally:
             await virtual_fleet.stop_all(list(fleet.processes.values()))
+        return storm
 
     return virtual_fleet.run_virtual(run())
 
@@ -110,3 +120,12 @@
             version_bytes, interval_s=interval_s, restarts=restarts
         )
         assert oldest_s <= APPLY_S
+
+    @pytest.mark.parametrize('interval_s', [0.15, 0.03])
+    def test_calls_do_not_grow_with_the_versions(self, interval_s):
+        """Guards against instances that all read the store in a series.
+
+        The first reader of each region makes two calls at each interval.
+        """
+        calls = play(90_000, interval_s=interval_s).calls
+        assert calls <= 2 * 2 * STORM_S / reader_group.SERIES_INTERVAL_S
--- a/libs/citronshelf_instance/tests/test_list_age.py
+++ b/libs/citronshelf_instance/tests/test_list_age.py
@@ -5,7 +5,6 @@
 import pytest
 
 from citronshelf_instance import reader_group
-from citronshelf_instance import store_reader
 from citronshelf_traffic import virtual_loop
 from instance_builders import make_configuration
 from instance_builders import make_registration
@@ -160,7 +159,7 @@
         slowest_s = slowest_drain(
             [0.2, 1.0, 2.0], lambda region: region.processes
         )
-        assert slowest_s <= store_reader.PAUSE_AFTER_CHANGE_S + 0.5
+        assert slowest_s <= reader_group.PAUSE_AFTER_CHANGE_S + 0.5
 
 
 class TestSilence:
--- a/libs/citronshelf_instance/tests/test_reader_group.py
+++ b/libs/citronshelf_instance/tests/test_reader_group.py
@@ -144,3 +144,42 @@
         members = [make_member(n) for n in range(4)]
         group = make_group(clock, 0, members)
         assert 4 / group.poll_interval_s() == pytest.approx(0.2)
+
+
+class TestSeries:
+    """During a series of changes, the first reader reads for the others."""
+
+    LIST_AGE_S = 0.1
+
+    def pauses_s(self, clock, *, unchanged_s, has_read=True, age_s=LIST_AGE_S):
+        """Return the pause of each reader, the first one first."""
+        members = [make_member(n) for n in range(16)]
+        groups = [make_group(clock, n, members) for n in range(16)]
+        readers = [group for group in groups if group.is_reader()]
+        for group in readers:
+            group.list_age_s = lambda: age_s
+        return [
+            group.pause_s(unchanged_s=unchanged_s, has_read=has_read)
+            for group in sorted(readers, key=lambda group: group.rank())
+        ]
+
+    def test_first_reader_is_the_next_to_read(self, clock):
+        """Guards against readers that all read after the same pause."""
+        first_s, *others_s = self.pauses_s(clock, unchanged_s=0.0)
+        assert len(others_s) >= 1
+        assert first_s == pytest.approx(
+            reader_group.SERIES_INTERVAL_S - self.LIST_AGE_S
+        )
+        assert min(others_s) > 2 * first_s
+
+    def test_first_reader_waits_longer_for_versions_of_others(self, clock):
+        """Guards against regions that all read each version."""
+        own_s = self.pauses_s(clock, unchanged_s=0.0)[0]
+        sent_s = self.pauses_s(clock, unchanged_s=0.0, has_read=False)[0]
+        assert sent_s > own_s
+
+    @pytest.mark.parametrize('unchanged_s, age_s', [(1.2, 0.1), (0.0, 1.7)])
+    def test_nobody_pauses(self, clock, unchanged_s, age_s):
+        """After the series, or with a list that is too old."""
+        pauses_s = self.pauses_s(clock, unchanged_s=unchanged_s, age_s=age_s)
+        assert set(pauses_s) == {0.0}
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -58,7 +58,6 @@
 @pytest.fixture(autouse=True)
 def short_pauses(monkeypatch):
     for name in (
-        'PAUSE_AFTER_CHANGE_S',
         'INITIAL_RETRY_DELAY_S',
         'OUTDATED_DELAY_S',
         'FOLLOW_INTERVAL_S',
@@ -85,6 +84,12 @@
     def is_confirming(self):
         return self.confirming
 
+    def pause_s(self, *, unchanged_s, has_read):
+        return 0.0
+
+    def is_alone(self, unchanged_s):
+        return False
+
 
 def read_with(store, clock, act=None, covered=False):
     """Run a reader for a short time; return it and its fetches from peers.
