published state: an age says nothing of an older state

Callers saw: nothing that was traced to it.

Cause: an instance that sends a version or a report with the registrations up to one revision gave the age of its own list, which may be at a later revision. The receiver then took the older list for the newest. So it was with copies that were kept for requests, with versions that a relay passes on after a newer one, and with reports during which another instance's report arrived.

Evidence: test_transfer_with_older_registrations_confirms_nothing fails without the change: a receiver that lacks the removal of a server at revision 12 counts its list at revision 9 as 0 s old.

Now such a message confirms nothing, and the receiver's list grows older until a later report or its own call. A sender at an earlier revision is no problem: what comes after a state that was the newest is at most as old.

--- a/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
@@ -176,7 +176,8 @@
     def send_to_other_regions(self, transfer: Transfer) -> None:
         """Send a version to one connected instance of each other region."""
         head = transfer.head._replace(
-            confirmed_ago_s=self.state.age_s(), for_region=True
+            confirmed_ago_s=self.state.confirmed_ago_s(transfer.head.delta),
+            for_region=True,
         )
         message = transfer._replace(head=head)
         reached = set()
@@ -239,7 +240,8 @@
     ) -> None:
         """Send a version to some targets, for the others behind them."""
         head = transfer.head._replace(
-            confirmed_ago_s=self.state.age_s(), for_region=False
+            confirmed_ago_s=self.state.confirmed_ago_s(transfer.head.delta),
+            for_region=False,
         )
         for part in split(targets):
             keys = [peer_messages.member_key(peer.member) for peer in part]
@@ -472,7 +474,9 @@
             self.next_reply_s, now - MAX_REPLY_CREDIT_S
         )
         head = transfer.head._replace(
-            confirmed_ago_s=self.state.age_s(), targets=(), for_region=False
+            confirmed_ago_s=self.state.confirmed_ago_s(transfer.head.delta),
+            targets=(),
+            for_region=False,
         )
         self.bytes_sent += len(transfer.data)
         self.reply(route, transfer._replace(sender=self.own, head=head))
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -316,12 +316,13 @@
             return
         if not self.is_store_current():
             return
+        delta = delta or self.state.empty_delta()
         message = peer_messages.ReaderReport(
             self.own,
             self.state.change_revision,
             self.state.directory.recovered_ago_s(),
-            delta or self.state.empty_delta(),
-            self.state.age_s(),
+            delta,
+            self.state.confirmed_ago_s(delta),
         )
         self.broadcast(
             [peer.member.address for peer in self.members.in_region()],
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -295,6 +295,18 @@
             self.age_s(),
         )
 
+    def confirmed_ago_s(
+        self, delta: configuration.RegistrationDelta | None
+    ) -> float | None:
+        """Return how long ago the state after some changes was the newest.
+
+        None if that is unknown: the state has later changes, and its age says
+        nothing of the one before them.
+        """
+        if delta is not None and self.revision > delta.revision:
+            return None
+        return self.age_s()
+
     async def wait_routable(self, wait_s: float) -> bool:
         """Wait until requests can be routed.
 
--- a/libs/citronshelf_instance/tests/test_configuration_exchange.py
+++ b/libs/citronshelf_instance/tests/test_configuration_exchange.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from citronshelf_instance import configuration
 from citronshelf_instance import configuration_exchange
 from citronshelf_instance import peer_messages
 from citronshelf_instance import reader_group
@@ -314,6 +315,36 @@
         assert run_region(scenario, 4) == [True, True]
 
 
+class TestConfirmation:
+    """What a transfer says of the age of the receiver's list."""
+
+    def test_transfer_with_older_registrations_confirms_nothing(self):
+        """Guards against lists that count as new and lack a change.
+
+        The sender knew of a change after the version, and sent its own age.
+        """
+
+        async def scenario(region):
+            sender, receiver = region.processes[:2]
+            newest = make_configuration(*NEXT_ROUTES, revision=9)
+            exchange = sender.peers.configurations
+            exchange.delta = configuration.RegistrationDelta(2, 9, {})
+            sender.state.apply_configuration(newest, 'test')
+            exchange.prepare(None, newest)
+            sender.state.apply(configuration.Changes(12, None, {'s1': None}))
+            known = sender.state.configuration
+            before_s = receiver.state.age_s()
+            exchange.answer(
+                peer_messages.ConfigurationRequest(receiver.peers.own, 0),
+                receiver.peers.own.address,
+            )
+            await asyncio.sleep(0.05)
+            is_applied = receiver.state.configuration == known
+            return is_applied, receiver.state.age_s() > before_s
+
+        assert run_region(scenario, 4) == (True, True)
+
+
 class TestWaiting:
     """How long a missing version is expected from other instances."""
 
--- a/libs/citronshelf_instance/tests/test_published.py
+++ b/libs/citronshelf_instance/tests/test_published.py
@@ -218,3 +218,19 @@
                 state.replace(first._replace(revision=5), source='peer')
         assert state.revision == 5
         assert state.directory.servers['s1'].registration.draining
+
+
+class TestConfirmedDelta:
+    """The age of a state says nothing of an older state."""
+
+    @pytest.mark.parametrize('revision, expected', [(9, 0.0), (12, None)])
+    def test_later_changes_make_it_unknown(self, clock, revision, expected):
+        """Guards against reports that make older lists count as new."""
+        state = published.PublishedState(
+            directory=registrations.Directory(clock=clock),
+            clock=clock,
+            rng=random.Random(1),
+        )
+        delta = configuration.RegistrationDelta(5, 9, {})
+        state.apply(configuration.Changes(revision, None, {}))
+        assert state.confirmed_ago_s(delta) == expected
