peers: the time of a message on its way counts into its age

Cause: reports of readers, versions and copies of the state give an age when they are sent. What they spend in a queue or on a busy link was not added, so a list could count as new that was seconds old.

Now they give the time at which they were sent, by the sender's monotonic clock. Instances of earlier builds send no time, and are believed as before.

--- a/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
@@ -29,6 +29,7 @@
 from citronshelf_instance import peer_messages
 from citronshelf_instance import published
 from citronshelf_instance import reader_group
+from citronshelf_instance import transit_times
 from citronshelf_instance import zone_relays
 
 LOG = logging.getLogger(__name__)
@@ -66,6 +67,7 @@
         Sends a message to an address; returns False if it was dropped.
     reply : callable
         Sends a message on the route by which another one arrived.
+    transit : TransitTimes
     clock : callable
         Monotonic seconds.
     rng : random.Random
@@ -91,6 +93,7 @@
         readers: reader_group.ReaderGroup,
         send: Callable[[fleet.Address, object], bool],
         reply: Callable[[object, object], bool],
+        transit: transit_times.TransitTimes,
         clock,
         rng: random.Random,
     ):
@@ -100,6 +103,7 @@
         self.readers = readers
         self.send = send
         self.reply = reply
+        self.transit = transit
         self.clock = clock
         self.rng = rng
         self.announced = 0
@@ -178,6 +182,7 @@
         head = transfer.head._replace(
             confirmed_ago_s=self.state.confirmed_ago_s(transfer.head.delta),
             for_region=True,
+            sent_s=self.clock(),
         )
         message = transfer._replace(head=head)
         reached = set()
@@ -242,6 +247,7 @@
         head = transfer.head._replace(
             confirmed_ago_s=self.state.confirmed_ago_s(transfer.head.delta),
             for_region=False,
+            sent_s=self.clock(),
         )
         for part in split(targets):
             keys = [peer_messages.member_key(peer.member) for peer in part]
@@ -340,7 +346,8 @@
         self, message: Transfer, newest: configuration.Configuration
     ) -> None:
         """Apply a version of another instance and keep it for requests."""
-        self.delta = message.head.delta
+        head = message.head
+        self.delta = head.delta
         self.difference = self.copy = None
         if isinstance(message, peer_messages.ConfigurationCopy):
             self.copy = message
@@ -349,9 +356,11 @@
         self.received += 1
         self.state.apply_transfer(
             newest,
-            message.head.delta,
+            head.delta,
             source=message.sender.instance,
-            confirmed_ago_s=message.head.confirmed_ago_s,
+            confirmed_ago_s=self.transit.age_s(
+                message.sender, head.sent_s, head.confirmed_ago_s
+            ),
         )
         self.on_applied()
         log_events.log_event(
@@ -477,6 +486,7 @@
             confirmed_ago_s=self.state.confirmed_ago_s(transfer.head.delta),
             targets=(),
             for_region=False,
+            sent_s=self.clock(),
         )
         self.bytes_sent += len(transfer.data)
         self.reply(route, transfer._replace(sender=self.own, head=head))
--- a/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peer_messages.py
@@ -22,6 +22,7 @@
 Revision = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 RequestNumber = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
 AgeS = Annotated[float, msgspec.Meta(ge=0)]
+MonotonicS = Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
 # Checksum of the name and nonce of an instance.
 MemberKey = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
 
@@ -157,10 +158,19 @@
 
 
 class StateCopy(NamedTuple):
-    """Published state of the sender, the reply to ``FetchState``."""
+    """Published state of the sender, the reply to ``FetchState``.
+
+    Attributes
+    ----------
+    sender : Member
+    snapshot : Snapshot
+    sent_s : float or None
+        When it was sent, by the sender's monotonic clock.
+    """
 
     sender: Member
     snapshot: configuration.Snapshot
+    sent_s: MonotonicS | None = None
 
 
 class ReaderReport(NamedTuple):
@@ -182,6 +192,8 @@
     confirmed_ago_s : float or None
         Seconds since the store showed that the state after ``delta`` was the
         newest; None if unknown.
+    sent_s : float or None
+        When it was sent, by the sender's monotonic clock.
     """
 
     sender: Member
@@ -189,6 +201,7 @@
     recovered_ago_s: AgeS | None
     delta: configuration.RegistrationDelta
     confirmed_ago_s: AgeS | None = None
+    sent_s: MonotonicS | None = None
 
 
 class ServerLeaving(NamedTuple):
@@ -339,6 +352,8 @@
         through others.
     for_region : bool
         The receiver passes it on to its whole region if it is new there.
+    sent_s : float or None
+        When it was sent, by the sender's monotonic clock.
     """
 
     revision: Revision
@@ -350,6 +365,7 @@
         msgspec.Meta(max_length=MAX_CONFIGURATION_TARGETS),
     ]
     for_region: bool = False
+    sent_s: MonotonicS | None = None
 
 
 ConfigurationData = Annotated[
--- a/libs/citronshelf_instance/citronshelf_instance/peers.py
+++ b/libs/citronshelf_instance/citronshelf_instance/peers.py
@@ -18,6 +18,7 @@
 from citronshelf_instance import peer_messages
 from citronshelf_instance import published
 from citronshelf_instance import reader_group
+from citronshelf_instance import transit_times
 from citronshelf_instance import zone_relays
 
 LOG = logging.getLogger(__name__)
@@ -123,6 +124,7 @@
             clock=clock,
             rng=rng,
         )
+        self.transit = transit_times.TransitTimes(clock=clock)
         self.configurations = configuration_exchange.ConfigurationExchange(
             own=own,
             state=state,
@@ -130,6 +132,7 @@
             readers=readers,
             send=self.send,
             reply=self.reply,
+            transit=self.transit,
             clock=clock,
             rng=rng,
         )
@@ -323,6 +326,7 @@
             self.state.directory.recovered_ago_s(),
             delta,
             self.state.confirmed_ago_s(delta),
+            self.clock(),
         )
         self.broadcast(
             [peer.member.address for peer in self.members.in_region()],
@@ -550,7 +554,10 @@
         directory = self.state.directory
         if message.recovered_ago_s is not None and directory.may_have_lapsed():
             directory.record_store_recovery(message.recovered_ago_s)
-        self.state.apply_delta(message.delta, message.confirmed_ago_s)
+        confirmed_ago_s = self.transit.age_s(
+            message.sender, message.sent_s, message.confirmed_ago_s
+        )
+        self.state.apply_delta(message.delta, confirmed_ago_s)
         self.on_peer_revision(max(message.revision, message.delta.after))
 
     def send_state(self, message: peer_messages.FetchState, route) -> None:
@@ -568,7 +575,9 @@
         self.next_copy_s = COPY_INTERVAL_S + max(
             self.next_copy_s, now - MAX_COPY_CREDIT_S
         )
-        copy = peer_messages.StateCopy(self.own, self.state.snapshot())
+        copy = peer_messages.StateCopy(
+            self.own, self.state.snapshot(), self.clock()
+        )
         self.reply(route, copy)
 
     def apply_state_copy(self, message: peer_messages.StateCopy) -> None:
@@ -586,7 +595,14 @@
             revision=message.snapshot.revision,
             known_revision=self.state.revision,
         )
-        self.state.replace(message.snapshot, source=message.sender.instance)
+        snapshot = message.snapshot._replace(
+            confirmed_ago_s=self.transit.age_s(
+                message.sender,
+                message.sent_s,
+                message.snapshot.confirmed_ago_s,
+            )
+        )
+        self.state.replace(snapshot, source=message.sender.instance)
 
     def fetch_state(self) -> None:
         """Request the published state from another instance.
