store reader: registrations beside a known version are reported

Callers saw: nothing.

Cause: a reader reports no registrations that changed together with a configuration, since those go with the version. If another region had passed that version on already, they went with nothing, and each follower read them.

Evidence: test_registrations_beside_a_known_version_are_reported fails without the change.

Now the report has them, with the revision of the version, and applies only where that version is in force (test_missing_version_is_not_skipped): an instance without it must not believe that it knows the whole range.

--- a/libs/citronshelf_instance/citronshelf_instance/configuration.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration.py
@@ -237,8 +237,12 @@
         The delta holds all changes up to this revision.
     registrations : dict of str to Registration or None
         Keyed by server id; None for a removed or unreadable entry.
+    configuration : int
+        Revision of the newest configuration that was published in the range
+        and is passed on apart; 0 if there is none.
     """
 
     after: int
     revision: int
     registrations: dict[str, Registration | None]
+    configuration: int = 0
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -151,8 +151,8 @@
     ) -> bool:
         """Apply changes that another instance read.
 
-        Returns False, without a change, if they are known already or changes
-        before them are missing.
+        Returns False, without a change, if they are known already, or if
+        changes before them or the configuration among them are missing.
 
         Parameters
         ----------
@@ -163,6 +163,9 @@
         """
         if not delta.after <= self.revision <= delta.revision:
             return False
+        in_force = self.configuration.revision if self.configuration else 0
+        if delta.configuration > in_force:
+            return False
         if confirmed_ago_s is not None:
             self.directory.confirm(confirmed_ago_s)
         if delta.revision == self.revision:
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -319,7 +319,7 @@
                     make_registration_delta(after, changed.ok),
                     self.group.is_alone(unchanged_s),
                 )
-            self.send_report(make_delta(after, changed.ok))
+            self.send_report(make_delta(before, after, changed.ok))
             return
         self.on_unchanged()
         if self.is_behind():
@@ -568,15 +568,32 @@
 
 
 def make_delta(
-    after: int, changes: configuration.Changes
+    before: configuration.Configuration | None,
+    after: int,
+    changes: configuration.Changes,
 ) -> configuration.RegistrationDelta | None:
     """Return changes for instances that do not read the store.
 
-    None if there are too many, or if the configuration changed.
+    None if there are too many, or if a configuration among them is not in
+    force yet: it is passed on together with the registrations.
+
+    Parameters
+    ----------
+    before : Configuration or None
+        The one that was in force before the changes.
+    after : int
+        Revision after which they were published.
+    changes : Changes
     """
-    if changes.changes_configuration():
+    newest = changes.configuration
+    if newest is None:
+        if changes.changes_configuration():
+            return None
+        return make_registration_delta(after, changes)
+    delta = make_registration_delta(after, changes)
+    if before is None or newest.revision > before.revision or delta is None:
         return None
-    return make_registration_delta(after, changes)
+    return delta._replace(configuration=newest.revision)
 
 
 def make_registration_delta(
--- a/libs/citronshelf_instance/tests/test_published.py
+++ b/libs/citronshelf_instance/tests/test_published.py
@@ -234,3 +234,23 @@
         delta = configuration.RegistrationDelta(5, 9, {})
         state.apply(configuration.Changes(revision, None, {}))
         assert state.confirmed_ago_s(delta) == expected
+
+
+class TestDeltaWithConfiguration:
+    """A delta that spans a version needs that version in force."""
+
+    @pytest.mark.parametrize('in_force, is_applied', [(4, False), (5, True)])
+    def test_missing_version_is_not_skipped(self, clock, in_force, is_applied):
+        """Guards against a version that an instance believes to know."""
+        state = published.PublishedState(
+            directory=registrations.Directory(clock=clock),
+            clock=clock,
+            rng=random.Random(1),
+        )
+        first = make_configuration(revision=2)
+        state.replace(configuration.Snapshot(3, first, ()), source='store')
+        sent = make_configuration(revision=in_force)
+        state.apply_configuration(sent, 'peer')
+        delta = configuration.RegistrationDelta(3, 6, {}, 5)
+        assert state.apply_delta(delta) is is_applied
+        assert state.revision == (6 if is_applied else 3)
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -424,6 +424,26 @@
         reader, _ = read_with(store, clock)
         assert reader.reports == [None, None]
 
+    def test_registrations_beside_a_known_version_are_reported(self, clock):
+        """Guards against a region that reads what its first reader knows.
+
+        Another instance had passed the version on, without what changed
+        beside it since the region's last report.
+        """
+        sent = make_configuration(revision=5)
+        change = configuration.Changes(6, sent, {'s2': None})
+        store = ScriptedStore([snapshot(3)], [])
+
+        def receive(reader):
+            reader.state.apply_configuration(sent, 'peer')
+            store.watches.append(Ok(change))
+            reader.end_superseded_watch()
+
+        reader, _ = read_with(store, clock, receive)
+        assert reader.reports[1:] == [
+            configuration.RegistrationDelta(3, 6, {'s2': None}, 5)
+        ]
+
     def test_many_registrations_are_not_reported(self, clock):
         many = range(store_reader.MAX_DELTA_REGISTRATIONS + 1)
         change = configuration.Changes(5, None, {f's{n}': None for n in many})
