logs: age at a new version, and calls that ended without a response

Event 1910 has list_age_s, and a fetch that got no byte of its body in time says so (test_response_that_stalls_is_a_fault).

--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -138,9 +138,9 @@
         """Return how many more requests can start without being queued."""
         return len(self._free_list) - len(self._requests)
 
-    def abort(self, curl: pycurl.Curl) -> None:
+    def abort(self, curl: pycurl.Curl, reason: str = 'cancelled') -> None:
         """Abort a running transfer immediately and close its connection."""
-        self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, 'cancelled')
+        self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, reason)
 
 
 class FetchedFraming:
@@ -152,7 +152,7 @@
     future : Future
         Done when the fetch has ended.
     abort : callable
-        Called with the handle.
+        Called with the handle, and the reason if it is not a cancellation.
     """
 
     def __init__(
@@ -160,7 +160,7 @@
         *,
         curl: pycurl.Curl,
         future: asyncio.Future,
-        abort: Callable[[pycurl.Curl], None],
+        abort: Callable[..., None],
     ):
         self.curl = curl
         self.future = future
@@ -204,7 +204,7 @@
         if self.received_s is not None:
             due_s = self.received_s + stall_timeout_s
         if loop.time() >= due_s:
-            self.abort(self.curl)
+            self.abort(self.curl, 'no bytes of the body in time')
         else:
             loop.call_at(due_s, self.check_stall, stall_timeout_s)
 
--- a/libs/citronshelf_instance/citronshelf_instance/published.py
+++ b/libs/citronshelf_instance/citronshelf_instance/published.py
@@ -121,9 +121,9 @@
                 self.apply_configuration(changes.configuration, STORE_SOURCE)
             return
         self.revision = changes.revision
-        self.directory.confirm(confirmed_ago_s)
         if changes.configuration is not None:
             self.apply_configuration(changes.configuration, STORE_SOURCE)
+        self.directory.confirm(confirmed_ago_s)
         self.record_unread(changes.unread_configuration)
         if changes.registrations:
             self.apply_registrations(changes)
@@ -221,6 +221,7 @@
         current = self.configuration
         if current is not None and published.revision <= current.revision:
             return
+        age_s = self.age_s()
         self.configuration = published
         if current is not None:
             self.changed_s = self.configured_s = self.clock()
@@ -236,6 +237,7 @@
             routes=len(published.routes),
             services=len(published.services),
             source=source,
+            list_age_s=None if age_s is None else round(age_s, 3),
         )
 
     def replace_accounts(self, published: configuration.Configuration) -> None:
