store reader: a call is given up only for a state that is young enough

Callers saw: nothing that was traced to it; found by reading each path on which an instance can go on with an old version.

Cause: a response that is arriving is given up as soon as another instance has sent a newer state, however old that state is. In a series, each call could be ended by a state that is newer and too old, and the next call begun anew. Besides, a follower noticed only after its sleep of up to 0.4 s that its list had become too old.

Evidence: test_it_is_not_given_up_for_an_old_state fails without the change.

Now the call goes on while the list is older than the limit, and followers wake when it reaches the limit. So from the limit (1.2 to 1.6 s) a call is running until one succeeds.

--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -225,7 +225,9 @@
                 return
             self.state.directory.drop_lapsed()
             self.outdated.clear()
-            await self.wait_announcement(FOLLOW_INTERVAL_S)
+            await self.wait_announcement(
+                min(FOLLOW_INTERVAL_S, self.group.remaining_s())
+            )
 
     async def catch_up(self) -> bool:
         """Wait until readers report a change that another instance knows.
@@ -234,7 +236,8 @@
         """
         missing = self.peer_revision
         for _ in range(OUTDATED_CHECKS):
-            await asyncio.sleep(OUTDATED_DELAY_S * self.rng.uniform(1, 2))
+            delay_s = OUTDATED_DELAY_S * self.rng.uniform(1, 2)
+            await asyncio.sleep(min(delay_s, self.group.remaining_s()))
             if self.state.revision >= missing:
                 return True
             if not self.group.is_covered():
@@ -389,11 +392,10 @@
         """Wait for a response that is arriving.
 
         Registrations are read apart meanwhile. Returns before the end of the
-        response if no more bytes come, or if another instance sent a newer
-        state: the rest of an older version is of no use.
+        response if no more bytes come, or if it is superseded.
         """
         while not call.done() and self.store.is_receiving():
-            if self.state.revision > after:
+            if self.is_superseded(after):
                 log_events.log_event(
                     LOG,
                     events.STORE_CALL_SUPERSEDED,
@@ -404,6 +406,14 @@
             await self.read_registrations(call, after)
             await asyncio.wait({call}, timeout=TRANSFER_CHECK_S)
 
+    def is_superseded(self, after: int) -> bool:
+        """Return whether the rest of a response is of no use.
+
+        Another instance has sent a newer state, which is young enough: calls
+        that were ended by one old state after another would never succeed.
+        """
+        return self.state.revision > after and self.group.remaining_s() > 0
+
     async def read_registrations(
         self, call: asyncio.Future, after: int
     ) -> None:
@@ -432,7 +442,7 @@
             if not done:
                 [call] = calls
                 await self.await_transfer(call, after)
-                if not call.done() and self.state.revision > after:
+                if not call.done() and self.is_superseded(after):
                     return None
                 done = call.done()
             if not done:
--- a/libs/citronshelf_instance/tests/test_store_reader.py
+++ b/libs/citronshelf_instance/tests/test_store_reader.py
@@ -581,6 +581,24 @@
         assert reader.state.configuration.revision == 8
         assert 8 in store.watched or covered
 
+    def test_it_is_not_given_up_for_an_old_state(self, clock):
+        """Guards against calls that newer, but old states end one by one."""
+
+        def act(reader):
+            reader.handle_peer_revision(7)
+            reader.state.apply_transfer(
+                make_configuration(revision=8),
+                configuration.RegistrationDelta(3, 8, {}),
+                source='peer',
+                confirmed_ago_s=None,
+            )
+            reader.group.remaining_s = lambda: 0.0
+
+        store = self.make_store()
+        reader, _ = read_with(store, clock, act)
+        assert reader.state.configuration.revision == 8
+        assert store.watched == [3]
+
 
 class LosingStore(ScriptedStore):
     """Store whose calls time out where the script has None."""
