--- a/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
+++ b/libs/citronshelf_instance/citronshelf_instance/configuration_exchange.py
@@ -161,13 +161,8 @@
         if is_new:
             self.send_to_other_regions(transfer)
             self.announce(self.readers.members.in_region())
-        members = self.readers.members.in_region()
-        self.pass_on(
-            transfer,
-            self.share_of_region()
-            if shares
-            else sorted(members, key=place_key),
-        )
+        targets = self.share_of_region() if shares else self.whole_region()
+        self.pass_on(transfer, targets)
 
     def announce(self, receivers: Iterable[membership.KnownMember]) -> None:
         """Announce the configuration in force to some instances."""
@@ -225,6 +220,10 @@
             (),
         )
 
+    def whole_region(self) -> list[membership.KnownMember]:
+        """Return the other members of the region, by place."""
+        return sorted(self.readers.members.in_region(), key=place_key)
+
     def share_of_region(self) -> list[membership.KnownMember]:
         """Return the members to which this reader passes a version on.
 
@@ -279,10 +278,10 @@
         head = message.head
         targets = set(head.targets)
         if head.for_region and head.revision > self.announced:
-            targets.update(
+            targets |= {
                 peer_messages.member_key(peer.member)
-                for peer in self.readers.members.in_region()
-            )
+                for peer in self.whole_region()
+            }
         self.record_announcement(head.revision)
         current = self.state.configuration
         if current is None or head.revision > current.revision:
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -89,7 +89,8 @@
     async def read_newest(self, after: int) -> Result:
         """Return changes without a wait.
 
-        Of several configurations, only the newest is transferred.
+        Of several configurations, only the newest is transferred, unless it
+        cannot be read. Makes up to two calls.
         """
 
     def is_receiving(self) -> bool:
@@ -346,8 +347,7 @@
         """Return whether only the newest configuration should be read.
 
         That is so if several may have been published since the revision that
-        is known. One that cannot be read may have a readable predecessor,
-        which only a watch returns.
+        is known, but not if the newest cannot be read.
         """
         is_likely = self.state.may_lack_versions() or self.lacks_announced()
         return is_likely and not self.state.lacks_configuration()
@@ -355,6 +355,7 @@
     def read_changes(self, after: int) -> Coroutine[None, None, Result]:
         """Return a call to the store that reads changes without a wait."""
         if self.may_lack_versions():
+            self.calls += 1
             return self.store.read_newest(after)
         return self.store.watch(after, 0.0)
 
