--- a/libs/citronshelf_instance/tests/test_configuration_storm.py
+++ b/libs/citronshelf_instance/tests/test_configuration_storm.py
@@ -28,13 +28,14 @@
         Time between two versions.
     restarts : bool
         Whether instances are killed and started again, one each 1.5 s.
+    seed : int
     """
 
-    def __init__(self, *, fleet, interval_s, restarts=False):
+    def __init__(self, *, fleet, interval_s, restarts=False, seed=1):
         self.fleet = fleet
         self.interval_s = interval_s
         self.restarts = restarts
-        self.rng = random.Random(1)
+        self.rng = random.Random(seed)
         self.oldest_s = 0.0
         self.calls = 0
 
--- a/measures/configuration_model.py
+++ b/measures/configuration_model.py
@@ -188,6 +188,11 @@
         changes = configuration.Changes(self.store.revision, None, {})
         return await self.receive(changes, EMPTY_RESPONSE_BYTES, float('inf'))
 
+    async def read_newest(self, after):
+        """Return the newest version, in two calls."""
+        await self.watch_registrations(after)
+        return await self.watch(after, 0.0)
+
     async def watch(self, after, wait_s):
         """Return changes when their bytes have arrived."""
         self.calls += 1
@@ -292,6 +297,7 @@
         if exchange is not None:
             self.reader.share_configuration = exchange.share
             self.reader.expects_configuration = exchange.is_expecting
+            self.reader.lacks_announced = exchange.lacks_announced
             exchange.on_applied = self.reader.end_superseded_watch
 
     def start(self):
