store client: a watch does not receive all versions of a series

Cause: an instance reads the newest version alone if it knows that several may be missing, which it learns from announcements or from a version that has just come into force. One whose messages are all lost knows of none, and its first call after the limit of 1.6 s asked for each version since, as all others did.

Now the client knows the size of the newest configuration. A response that is larger than two of them and 128 KB is refused by its length, before its body, and the newest configuration is read apart. What a call transfers is bounded by its size, whatever is known, so the bound does not rest on the estimate.

--- a/libs/citronshelf_entry/citronshelf_entry/upstream.py
+++ b/libs/citronshelf_entry/citronshelf_entry/upstream.py
@@ -381,6 +381,12 @@
         self.curl.close()
 
 
+def is_too_large(response: httpclient.HTTPResponse) -> bool:
+    """Return whether a fetch failed because its body is above the limit."""
+    errno = getattr(response.error, 'errno', None)
+    return errno == pycurl.E_FILESIZE_EXCEEDED
+
+
 def resolve(future: asyncio.Future, value) -> None:
     """Set the result of a future unless it is already done or cancelled."""
     if not future.done():
--- a/libs/citronshelf_instance/citronshelf_instance/store_reader.py
+++ b/libs/citronshelf_instance/citronshelf_instance/store_reader.py
@@ -61,6 +61,7 @@
 
     NO_RESPONSE = 'no-answer'
     HISTORY_LOST = 'history-lost'
+    TOO_LARGE = 'too-large'
 
 
 class StoreFault(NamedTuple):
@@ -80,7 +81,8 @@
         """Wait for changes after a revision.
 
         Waits up to ``wait_s`` seconds. Returns ``Ok`` with ``Changes``, or
-        ``Error`` with a ``StoreFault``.
+        ``Error`` with a ``StoreFault``. What is transferred is bounded,
+        whatever the number of configurations published meanwhile.
         """
 
     async def watch_registrations(self, after: int) -> Result:
--- a/libs/citronshelf_instance/tests/linked_fleet.py
+++ b/libs/citronshelf_instance/tests/linked_fleet.py
@@ -21,6 +21,8 @@
 # A response is sent in parts, between which others have their turn.
 PART_BYTES = 16 * 1024
 REGISTRATION_BYTES = 400
+# As in the adapter of the platform: a watch does not receive several versions.
+SPARE_BYTES = 128 * 1024
 NEAR, FAR = 'near', 'far'
 ROUTES = tuple(make_route(name=f'r{n}', prefix=f'/r{n}/') for n in range(30))
 
@@ -142,6 +144,8 @@
     async def watch(self, after, wait_s):
         await self.wait_change(after, wait_s)
         versions = [v for v in self.store.versions if v.revision > after]
+        if (len(versions) - 2) * self.store.version_bytes > SPARE_BYTES:
+            return await self.read_newest(after)
         changed = self.changed_registrations(after)
         changes = configuration.Changes(
             self.store.revision, versions[-1] if versions else None, changed
--- a/libs/citronshelf_instance/tests/test_configuration_storm.py
+++ b/libs/citronshelf_instance/tests/test_configuration_storm.py
@@ -79,8 +79,11 @@
     return play(version_bytes, **options).oldest_s
 
 
-def play(version_bytes, **options):
-    """Play a storm in a fleet of two regions and return it."""
+def play(version_bytes, *, is_silent=False, **options):
+    """Play a storm in a fleet of two regions and return it.
+
+    If ``is_silent``, all messages between instances are lost meanwhile.
+    """
 
     async def run():
         fleet = linked_fleet.Fleet(
@@ -88,6 +91,8 @@
         )
         await asyncio.sleep(SETTLING_S)
         storm = Storm(fleet=fleet, **options)
+        if is_silent:
+            fleet.network.silent_until_s = float('inf')
         try:
             await storm.run()
         finally:
@@ -122,6 +127,14 @@
         )
         assert oldest_s <= APPLY_S
 
+    @pytest.mark.parametrize(
+        'version_bytes, interval_s', [(90_000, 0.15), (400_000, 0.33)]
+    )
+    def test_instances_without_each_other(self, version_bytes, interval_s):
+        """Guards against a first call that asks for all missed versions."""
+        storm = play(version_bytes, interval_s=interval_s, is_silent=True)
+        assert storm.oldest_s <= APPLY_S
+
     @pytest.mark.parametrize('interval_s', [0.15, 0.03])
     def test_calls_do_not_grow_with_the_versions(self, interval_s):
         """Guards against instances that all read the store in a series.
