--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -189,8 +189,6 @@
         await reader.readexactly(int(fields.get('content-length', 0)))
         request_id = fields['request-id']
         echo = b'Request-Id: %b\r\n' % request_id.encode()
-        if self.state == 'draining':
-            echo += b'Server-Leaving: 1\r\n'
         if fields.get('expect-instance', self.name) != self.name:
             writer.write(
                 b'HTTP/1.1 421 X\r\n%bContent-Length: 0\r\n\r\n' % echo
@@ -199,6 +197,8 @@
         self.arrivals.append((self.record.now(), request_id))
         self.record.write(f'{self.name} runs {request_id} ({start})')
         await asyncio.sleep(self.work_s)
+        if self.state == 'draining':
+            echo += b'Server-Leaving: 1\r\n'
         body = f'{request_id} {self.name}'.encode()
         writer.write(
             b'HTTP/1.1 200 OK\r\n%bResponse-Seal: %b\r\n'
