--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -124,7 +124,8 @@
         return [
             event
             for event in self.history
-            if event['mod-revision'] > after and event['key'].startswith(prefix)
+            if event['mod-revision'] > after
+            and event['key'].startswith(prefix)
         ]
 
 
@@ -331,8 +332,8 @@
     async def ready(self):
         try:
             status, _, _ = await exchange(
-                self.ports['ready'], b'GET /ready HTTP/1.1\r\nHost: x\r\n'
-                b'Connection: close\r\n\r\n'
+                self.ports['ready'],
+                b'GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n',
             )
         except (OSError, asyncio.IncompleteReadError):
             return 0
